--- /dev/null
+++ b/machine/machine.go
@@ -0,0 +1,128 @@
+package machine
+
+import (
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+)
+
+// Instant is a point on the monotonic clock of a process, in nanoseconds since
+// an arbitrary start. Instants of two processes can't be compared.
+type Instant int64
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant {
+	return i + Instant(d)
+}
+
+// Sub returns the time from j to i.
+func (i Instant) Sub(j Instant) time.Duration {
+	return time.Duration(i - j)
+}
+
+// Now is the time at which a step runs.
+type Now struct {
+	// Instant is the monotonic time. Every duration is measured with it.
+	Instant Instant
+	// WallMillis is the wall clock in Unix milliseconds. It may jump.
+	WallMillis int64
+}
+
+// Input is something that happened. Modules define their own inputs beside
+// those of this package.
+type Input interface {
+	MachineInput()
+}
+
+// Output is something to do. Modules define their own outputs beside those of
+// this package.
+type Output interface {
+	MachineOutput()
+}
+
+// Machine is a deterministic state machine.
+type Machine interface {
+	// Step applies one input at the given time. The caller never passes a time
+	// whose Instant is before that of an earlier call.
+	Step(now Now, in Input) []Output
+}
+
+// Message is a message between two hosts.
+type Message interface {
+	// MessageNumber is the number of the message type on the wire. docs/design.md
+	// lists the range of each module.
+	MessageNumber() uint16
+}
+
+// Tick says that time has passed. The control loop sends one every 50 ms.
+type Tick struct{}
+
+// MachineInput marks Tick as an input.
+func (Tick) MachineInput() {}
+
+// Received is a message from an authenticated peer.
+type Received struct {
+	From    fleet.Member
+	Message Message
+}
+
+// MachineInput marks Received as an input.
+func (Received) MachineInput() {}
+
+// ViewChanged carries a new membership view to the modules that depend on it.
+type ViewChanged struct {
+	View *fleet.View
+}
+
+// MachineInput marks ViewChanged as an input.
+func (ViewChanged) MachineInput() {}
+
+// LeaseChanged carries the end of the validity of the host's lease.
+type LeaseChanged struct {
+	// ValidUntil is the instant at which the lease ends unless it is renewed.
+	ValidUntil Instant
+}
+
+// MachineInput marks LeaseChanged as an input.
+func (LeaseChanged) MachineInput() {}
+
+// Send asks for a message to be sent to a host. Delivery is not assured.
+type Send struct {
+	To      fleet.HostID
+	Message Message
+}
+
+// MachineOutput marks Send as an output.
+func (Send) MachineOutput() {}
+
+// Event asks for an entry on the time line. Text must not hold a key.
+type Event struct {
+	Kind     string
+	Customer fleet.Customer
+	Request  string
+	Subject  string
+	Text     string
+}
+
+// MachineOutput marks Event as an output.
+func (Event) MachineOutput() {}
+
+// MessageType registers a message with the codec of the peer connections.
+type MessageType struct {
+	Number uint16
+	// New returns a pointer to an empty message of the type. Decoded messages
+	// are delivered as the value that the pointer points to.
+	New func() any
+	// Value returns the message that a pointer from New holds.
+	Value func(pointer any) Message
+}
+
+// TypeOf returns the registration of message type M.
+func TypeOf[M Message]() MessageType {
+	var zero M
+	return MessageType{
+		Number: zero.MessageNumber(),
+		New:    func() any { return new(M) },
+		Value:  func(pointer any) Message { return *pointer.(*M) },
+	}
+}
