--- /dev/null
+++ b/internal/faulttest/store.go
@@ -0,0 +1,123 @@
+package faulttest
+
+import (
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// storeTimeout is how long a node waits for the answer of the store.
+const storeTimeout = 2 * time.Second
+
+// Store is a fake object store with versions and conditional updates.
+type Store struct {
+	// Latency is the one-way delay of a call.
+	Latency time.Duration
+	// Calls counts the calls that reached the store.
+	Calls int
+
+	rig        *Rig
+	objects    map[machine.StoreKey]storedObject
+	version    uint64
+	down       bool
+	cut        map[fleet.HostID]bool
+	loseAnswer int
+}
+
+type storedObject struct {
+	version uint64
+	value   []byte
+}
+
+func newStore(r *Rig) *Store {
+	return &Store{
+		Latency: 5 * time.Millisecond,
+		rig:     r,
+		objects: map[machine.StoreKey]storedObject{},
+		cut:     map[fleet.HostID]bool{},
+	}
+}
+
+// SetDown starts or ends an outage. Calls in an outage change nothing.
+func (s *Store) SetDown(down bool) { s.down = down }
+
+// CutHost cuts a host from the store, or reconnects it.
+func (s *Store) CutHost(id fleet.HostID, cut bool) { s.cut[id] = cut }
+
+// LoseAnswers loses the answers of the next n calls, after they took effect.
+func (s *Store) LoseAnswers(n int) { s.loseAnswer += n }
+
+// Read returns the value and version of an object; version 0 if it is absent.
+func (s *Store) Read(key machine.StoreKey) ([]byte, uint64) {
+	o := s.objects[key]
+	return o.value, o.version
+}
+
+// Write sets an object without a condition.
+func (s *Store) Write(key machine.StoreKey, value []byte) uint64 {
+	s.version++
+	s.objects[key] = storedObject{version: s.version, value: append([]byte(nil), value...)}
+	return s.version
+}
+
+// Snapshot returns a copy of all objects, for Restore.
+func (s *Store) Snapshot() map[machine.StoreKey][]byte {
+	snapshot := make(map[machine.StoreKey][]byte, len(s.objects))
+	for key, o := range s.objects {
+		snapshot[key] = o.value
+	}
+	return snapshot
+}
+
+// Restore replaces all objects by those of a snapshot, as a restored backup does.
+func (s *Store) Restore(snapshot map[machine.StoreKey][]byte) {
+	s.objects = map[machine.StoreKey]storedObject{}
+	for key, value := range snapshot {
+		s.Write(key, value)
+	}
+}
+
+func (s *Store) call(n *Node, c machine.StoreCall) {
+	started := n.Time().Instant
+	r := s.rig
+	r.schedule(s.Latency+r.jitter(), delivery{call: func() {
+		if s.down || s.cut[n.Member.Host] {
+			s.answer(n, storeTimeout, machine.StoreResult{ID: c.ID, Outcome: machine.StoreUnknown, Started: started})
+			return
+		}
+		s.Calls++
+		result := s.apply(c)
+		result.Started = started
+		if s.loseAnswer > 0 {
+			s.loseAnswer--
+			s.answer(n, storeTimeout, machine.StoreResult{ID: c.ID, Outcome: machine.StoreUnknown, Started: started})
+			return
+		}
+		s.answer(n, s.Latency+r.jitter(), result)
+	}})
+}
+
+func (s *Store) answer(n *Node, after time.Duration, result machine.StoreResult) {
+	s.rig.schedule(after, delivery{node: n, input: result})
+}
+
+func (s *Store) apply(c machine.StoreCall) machine.StoreResult {
+	current, exists := s.objects[c.Key]
+	switch {
+	case c.Op == machine.StoreGet && exists:
+		value := append([]byte(nil), current.value...)
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreOK, Version: current.version, Value: value}
+	case c.Op == machine.StoreCreate && !exists:
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreOK, Version: s.Write(c.Key, c.Value)}
+	case c.Op == machine.StoreUpdate && exists && current.version == c.Version:
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreOK, Version: s.Write(c.Key, c.Value)}
+	case c.Op == machine.StoreDelete && exists && current.version == c.Version:
+		delete(s.objects, c.Key)
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreOK}
+	case !exists:
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreNotFound}
+	default:
+		return machine.StoreResult{ID: c.ID, Outcome: machine.StoreConflict, Version: current.version}
+	}
+}
