--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -138,10 +138,13 @@
 		if answer.changed {
 			p.loseAnswer(r.Context())
 		}
-		if answer.ended && !p.available(w, req) || !pause(r.Context(), out) {
+		if answer.ended {
+			p.endWatch(w, req)
 			return
 		}
-		answer.write(w)
+		if pause(r.Context(), out) {
+			answer.write(w)
+		}
 	}
 }
 
@@ -189,6 +192,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// endWatch ends a watch that an outage interrupted, even if the outage is over.
+func (p *Platform) endWatch(w http.ResponseWriter, r *request) {
+	if p.available(w, r) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // loseAnswer ends the call without an answer if its answer is to be lost.
 func (p *Platform) loseAnswer(ctx context.Context) {
 	lose, mode := p.faults.loseAnswer()
--- a/internal/standin/upstream/admin.go
+++ b/internal/standin/upstream/admin.go
@@ -94,6 +94,7 @@
 	mux.HandleFunc("POST /admin/crash", g.crash)
 	mux.HandleFunc("POST /admin/restart", g.restart)
 	mux.HandleFunc("POST /admin/drain", g.drain)
+	mux.HandleFunc("POST /admin/register", g.registerAgain)
 	mux.HandleFunc("POST /admin/health", g.setHealth)
 	return mux
 }
@@ -218,6 +219,22 @@
 	})
 }
 
+// registerAgain puts upstreams into the host list with their present state, which
+// a restarted platform stand-in has lost.
+func (g *Group) registerAgain(w http.ResponseWriter, r *http.Request) {
+	var s Selector
+	if !decode(w, r, &s) {
+		return
+	}
+	g.apply(w, s, func(u *Upstream) (int, error) {
+		state := store.HostLive
+		if _, draining := u.state(); draining {
+			state = store.HostLeaving
+		}
+		return 0, g.announce(u, state)
+	})
+}
+
 func (g *Group) setHealth(w http.ResponseWriter, r *http.Request) {
 	h := healthRequest{HealthSetting: HealthSetting{Mode: HealthNormal}}
 	if !decode(w, r, &h) {
--- a/internal/standin/upstream/group.go
+++ b/internal/standin/upstream/group.go
@@ -30,6 +30,8 @@
 	Platform string
 	// Records is the number of runs that are kept; zero means DefaultRecords.
 	Records int
+	// after times the work; nil means time.After. Tests replace it.
+	after func(time.Duration) <-chan time.Time
 }
 
 // Group is the upstreams of one process.
@@ -80,22 +82,26 @@
 		records = DefaultRecords
 	}
 	g := &Group{recorder: NewRecorder(records), platform: options.Platform}
-	if err := g.start(configs, options.AdminAddress); err != nil {
+	if err := g.start(configs, options); err != nil {
 		g.Close()
 		return nil, err
 	}
 	return g, nil
 }
 
-func (g *Group) start(configs []Config, adminAddress string) error {
-	admin, err := net.Listen("tcp", adminAddress)
+func (g *Group) start(configs []Config, options Options) error {
+	admin, err := net.Listen("tcp", options.AdminAddress)
 	if err != nil {
-		return eris.Wrapf(err, "upstream stand-in cannot listen on %s", adminAddress)
+		return eris.Wrapf(err, "upstream stand-in cannot listen on %s", options.AdminAddress)
+	}
+	after := options.after
+	if after == nil {
+		after = time.After
 	}
 	g.admin = admin
 	g.server = &http.Server{Handler: g.adminRoutes()}
 	for _, config := range configs {
-		u, err := newUpstream(config, g.recorder)
+		u, err := newUpstream(config, g.recorder, after)
 		if err != nil {
 			return err
 		}
@@ -134,7 +140,7 @@
 	for _, u := range g.upstreams {
 		a.Upstreams = append(a.Upstreams, Bound{
 			Name:          u.config.Name,
-			Address:       u.boundAddress(),
+			Address:       u.port.address,
 			Pool:          u.config.Pool,
 			Region:        u.config.Region,
 			FailureDomain: u.config.FailureDomain,
@@ -144,18 +150,12 @@
 	return a
 }
 
-func (u *Upstream) boundAddress() string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.address
-}
-
 // announce puts an upstream into the platform's host list.
 func (g *Group) announce(u *Upstream, state store.HostState) error {
 	if g.platform == "" {
 		return nil
 	}
-	address, err := netip.ParseAddrPort(u.boundAddress())
+	address, err := netip.ParseAddrPort(u.port.address)
 	if err != nil {
 		return eris.Wrap(err, "bound address")
 	}
--- a/internal/standin/upstream/records.go
+++ b/internal/standin/upstream/records.go
@@ -7,13 +7,14 @@
 	"github.com/catkinspring/catkinspring/fleet"
 )
 
-// Bounds of the run records. With these, a record takes at most about 10 KiB
-// and typically 0.5 KiB, so 100,000 records typically take 50 MB.
+// Bounds of the run records. A record has at most five texts and eight pairs of
+// them, which is under 6 KB; 100,000 records take at most 600 MB. Without keys and
+// with short ids a record takes about 0.5 KB.
 const (
 	// DefaultRecords is the default number of runs that are kept.
 	DefaultRecords = 100_000
 	// maxText bounds a recorded path, id or header value, in bytes.
-	maxText = 512
+	maxText = 256
 	// maxKeysSeen bounds the key-like values kept for one request.
 	maxKeysSeen = 8
 	// maxSightings bounds the requests with key-like values that are listed.
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -40,9 +40,11 @@
 	// after times the work. Tests replace it.
 	after func(time.Duration) <-chan time.Time
 
+	// port holds the address while there is no listener.
+	port *reservation
+
 	mu          sync.Mutex
 	servers     conc.WaitGroup
-	address     string
 	listener    *listener
 	conns       map[*conn]struct{}
 	current     *incarnation
@@ -58,13 +60,17 @@
 type connKey struct{}
 
 // newUpstream binds the address and serves until close.
-func newUpstream(config Config, recorder *Recorder) (*Upstream, error) {
+func newUpstream(config Config, recorder *Recorder, after func(time.Duration) <-chan time.Time) (*Upstream, error) {
+	port, err := reserve(config.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "upstream %s", config.Name)
+	}
 	u := &Upstream{
 		config:   config,
 		recorder: recorder,
 		service:  newServiceTimes(config),
-		after:    time.After,
-		address:  config.Address,
+		after:    after,
+		port:     port,
 		conns:    map[*conn]struct{}{},
 	}
 	mux := http.NewServeMux()
@@ -80,7 +86,11 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u, u.startLocked()
+	if err := u.startLocked(); err != nil {
+		port.release()
+		return nil, err
+	}
+	return u, nil
 }
 
 // startLocked begins an incarnation.
@@ -102,11 +112,10 @@
 	if u.listener != nil || u.refusing || u.down {
 		return nil
 	}
-	bound, err := net.Listen("tcp", u.address)
+	bound, err := net.Listen("tcp", u.port.address)
 	if err != nil {
-		return eris.Wrapf(err, "upstream %s cannot listen on %s", u.config.Name, u.address)
+		return eris.Wrapf(err, "upstream %s cannot listen on %s", u.config.Name, u.port.address)
 	}
-	u.address = bound.Addr().String()
 	l := &listener{Listener: bound, upstream: u, cost: millis(u.config.ConnectionCostMillis)}
 	u.listener = l
 	// Serve returns when the listener is closed by a crash, a refusal or the end.
@@ -167,6 +176,7 @@
 	u.current.crash()
 	open := u.openLocked()
 	if restartAfter > 0 {
+		// The port is reserved, so listening on it again does not fail.
 		u.restartWait = time.AfterFunc(restartAfter, func() { _ = u.Restart() })
 	}
 	u.mu.Unlock()
@@ -238,4 +248,5 @@
 	// Close reports the listeners that the crash has closed already.
 	_ = u.server.Close()
 	u.servers.Wait()
+	u.port.release()
 }
--- a/internal/standin/upstream/work.go
+++ b/internal/standin/upstream/work.go
@@ -25,7 +25,7 @@
 )
 
 // maxBody bounds a request body and the payload of an answer, in bytes.
-const maxBody = 16 << 20
+const maxBody = 8 << 20
 
 // work is a request whose body was read.
 type work struct {
@@ -34,8 +34,9 @@
 	incarnation *incarnation
 	body        []byte
 	target      string
-	// deadline fires when the deadline passes; nil without one.
-	deadline <-chan time.Time
+	// deadline is zero without one. passed fires when it passes.
+	deadline time.Time
+	passed   <-chan time.Time
 	size     int
 	keys     []string
 }
@@ -54,10 +55,15 @@
 func (u *Upstream) serveWork(w http.ResponseWriter, r *http.Request) {
 	job := &work{request: r, target: r.URL.RequestURI()}
 	job.conn, _ = r.Context().Value(connKey{}).(*conn)
-	w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+	if id := r.Header.Get(RequestIDHeader); id != "" {
+		w.Header().Set(RequestIDHeader, id)
+	}
+	before, _ := u.state()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
 	if err != nil {
-		u.recorder.count(func(t *Totals) { t.TruncatedRequests++ })
+		if before.crashed.Err() == nil {
+			u.recorder.count(func(t *Totals) { t.TruncatedRequests++ })
+		}
 		panic(http.ErrAbortHandler)
 	}
 	job.body = body
@@ -118,7 +124,8 @@
 		return ok
 	}
 	deadline, understood := parseDeadline(text)
-	j.deadline = time.After(time.Until(deadline))
+	j.deadline = deadline
+	j.passed = time.After(time.Until(deadline))
 	return ok && understood
 }
 
@@ -180,15 +187,10 @@
 	return reason
 }
 
-// expired reports whether the deadline has passed. The wait for a slot would
-// otherwise choose at random between a free slot and a passed deadline.
+// expired reports whether the deadline has passed. A wait would otherwise choose
+// at random between a free slot and a passed deadline.
 func (j *work) expired() bool {
-	select {
-	case <-j.deadline:
-		return true
-	default:
-		return false
-	}
+	return !j.deadline.IsZero() && !time.Now().Before(j.deadline)
 }
 
 // wait waits for done or for a slot; the other one is nil. A client that closes
@@ -202,7 +204,7 @@
 			return notInterrupted
 		case slot <- struct{}{}:
 			return notInterrupted
-		case <-j.deadline:
+		case <-j.passed:
 			return deadlinePassed
 		case <-j.incarnation.crashed.Done():
 			return upstreamCrashed
@@ -248,7 +250,7 @@
 		IdempotencyKey: clip(header.Get(IdempotencyKeyHeader)),
 		Customer:       fleet.Customer(clip(header.Get(CustomerHeader))),
 		Upstream:       u.config.Name,
-		Method:         job.request.Method,
+		Method:         clip(job.request.Method),
 		Target:         clip(job.target),
 		BodyBytes:      len(job.body),
 		BodyHash:       bodyHash(job.body),
