Check unannounced drains and re-registration of upstreams

Cause: both calls of the admin interface had no test. Change: two steps in the drain test of the upstream stand-in.

--- a/internal/standin/upstream/faults_test.go
+++ b/internal/standin/upstream/faults_test.go
@@ -109,6 +109,11 @@
 	assert.Equal(t, store.HostLive, state())
 	g.open(1)
 	assert.Equal(t, http.StatusOK, r.do("GET", r.address(0)+"/new", "").StatusCode)
+
+	r.admin("POST", "/admin/drain", `{"announce":false}`)
+	assert.Equal(t, store.HostLive, state(), "an unannounced drain does not show")
+	r.admin("POST", "/admin/register", "")
+	assert.Equal(t, store.HostLeaving, state())
 }
 
 // Guards against a fault that skips the run, is not used up, or ends the
