Add a first request path: keys, look-up, gateway and dispatch

Callers had no interface yet. This adds the key format, the client block table with the answer builder, the dispatcher with its own connection pool, and the gateway with look-up, open, keyed and at-most-once routes and problem documents.

--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// The headers between entry hosts and upstreams.
+const (
+	HeaderRequestID = "X-Request-Id"
+	// HeaderDeadline is the time after which an upstream must drop the work, in
+	// Unix milliseconds.
+	HeaderDeadline = "X-Request-Deadline"
+	// HeaderNotRun is "true" on a 503 of an upstream that did not run the request.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderDraining is "true" beside HeaderNotRun if the upstream is leaving.
+	HeaderDraining = "X-Draining"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// ID is unique for each request and can't be guessed.
+	ID       string
+	Route    *configuration.Route
+	Customer fleet.Customer
+	// Weight is the customer's weight, at least 1.
+	Weight int
+	// Fingerprint is the result of Fingerprint for the request.
+	Fingerprint uint64
+	// Message is the request as it was received. It is not changed, and not used
+	// after Dispatch returns.
+	Message *fasthttp.Request
+	// Target is the path and query to ask the upstream for.
+	Target []byte
+	// Key is the caller's key, which no upstream may see; zero on open routes.
+	Key keys.Key
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Lease bounds the deadline that the upstream is given; nil on open routes.
+	Lease traffic.Lease
+	// LastCheck is called immediately before the first byte of each attempt is
+	// written. Nothing is written if it returns an error.
+	LastCheck func() error
+
+	written atomic.Bool
+}
+
+// Written reports whether a byte of the request may have been written to an
+// upstream. It may be called after a panic in Dispatch.
+func (r *Request) Written() bool { return r.written.Load() }
+
+func (r *Request) atMostOnce() bool {
+	return r.Route.Semantics != configuration.SemanticsIdempotent
+}
+
+// Fingerprint returns a hash of what makes two requests the same. Each part is
+// preceded by its length, so that parts can't be shifted into each other.
+func Fingerprint(customer fleet.Customer, route fleet.Route, method, target, body []byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	writePart(&digest, []byte(customer))
+	writePart(&digest, []byte(route))
+	writePart(&digest, method)
+	writePart(&digest, target)
+	writePart(&digest, body)
+	return digest.Sum64()
+}
+
+func writePart(digest *xxhash.Digest, part []byte) {
+	var size [8]byte
+	binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+	_, _ = digest.Write(size[:])
+	_, _ = digest.Write(part)
+}
--- /dev/null
+++ b/dispatch/table.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import "sync/atomic"
+
+// Table is the traffic side of the quarantine. The state machine publishes to
+// it; any goroutine may read it. A nil Table is empty.
+type Table struct {
+	entries atomic.Pointer[map[uint64]bool]
+}
+
+// Quarantined reports whether requests with a fingerprint must be refused.
+func (t *Table) Quarantined(fingerprint uint64) bool {
+	return t.load()[fingerprint]
+}
+
+// Suspected reports whether a success of the fingerprint must be reported.
+func (t *Table) Suspected(fingerprint uint64) bool {
+	_, ok := t.load()[fingerprint]
+	return ok
+}
+
+func (t *Table) load() map[uint64]bool {
+	if t == nil {
+		return nil
+	}
+	entries := t.entries.Load()
+	if entries == nil {
+		return nil
+	}
+	return *entries
+}
+
+// publish replaces the table. The value says whether the fingerprint is
+// quarantined. The map must not be changed afterwards.
+func (t *Table) publish(entries map[uint64]bool) {
+	if t != nil {
+		t.entries.Store(&entries)
+	}
+}
--- /dev/null
+++ b/gateway/check.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/problem"
+)
+
+// authenticate finds the customer whose key came with a request. On an open
+// route a key is not needed and not checked; it is only kept from the upstream.
+func (g *Gateway) authenticate(snapshot *configuration.Snapshot, route *configuration.Route, header *fasthttp.RequestHeader) (identity, error) {
+	token, found := bearer(header)
+	key, err := keys.Parse(token)
+	if route.Access == configuration.AccessOpen {
+		return identity{key: key}, nil
+	}
+	if !found {
+		return identity{}, problem.NotRun(problem.KindKeyMissing, "this route needs one Authorization header with a Bearer key")
+	}
+	if err != nil {
+		return identity{}, invalidKey()
+	}
+	who := identity{key: key, digest: key.Digest()}
+	owner, err := g.checkKey(snapshot, &who)
+	if err != nil {
+		return identity{}, err
+	}
+	who.customer = owner
+	return who, nil
+}
+
+// checkKey returns the customer who has the key in a configuration.
+func (g *Gateway) checkKey(snapshot *configuration.Snapshot, who *identity) (*configuration.Customer, error) {
+	owner, ok := snapshot.KeyOwner(who.key.ID())
+	// The comparison also runs for unknown ids, against a digest of nothing.
+	matches := who.digest.Matches(owner.Key.Digest)
+	if !ok || !matches {
+		return nil, invalidKey()
+	}
+	if g.KeySuspended(who.key.ID()) {
+		return nil, problem.NotRun(problem.KindKeySuspended, "the key may be withdrawn at this moment; repeat soon")
+	}
+	return owner.Customer, nil
+}
+
+func invalidKey() *problem.Error {
+	return problem.NotRun(problem.KindKeyInvalid, "the key is not valid")
+}
+
+// lastCheck decides again, immediately before the request is written to an
+// upstream, whether it may run: the configuration, the lease, the rate share or
+// the claim may have changed while it waited.
+func (f *forwarding) lastCheck() error {
+	snapshot := f.g.Snapshot()
+	if snapshot == nil {
+		return problem.NotRun(problem.KindNotReady, "the entry host has no configuration")
+	}
+	route := snapshot.Route(f.route.Name)
+	if route == nil || route.Access != f.route.Access || route.Semantics != f.route.Semantics {
+		return problem.NotRun(problem.KindRouteUnknown, "the route changed while the request waited")
+	}
+	if route.Access != configuration.AccessOpen {
+		if err := f.checkCustomer(snapshot, route); err != nil {
+			return err
+		}
+	}
+	if err := f.checkLease(); err != nil {
+		return err
+	}
+	if f.admission != nil && !f.admission.Valid() {
+		return problem.NotRun(problem.KindLeaseExpired, "the host's share of the customer's rate was withdrawn while the request waited")
+	}
+	if f.claim != nil && !f.claim.Valid() {
+		return problem.NotRun(problem.KindClaimUnavailable, "the claim on the operation ended while the request waited")
+	}
+	return nil
+}
+
+func (f *forwarding) checkCustomer(snapshot *configuration.Snapshot, route *configuration.Route) error {
+	customer, err := f.g.checkKey(snapshot, &f.who)
+	if err != nil {
+		return err
+	}
+	if customer.ID != f.who.customer.ID || !route.Allows(customer.ID) {
+		return problem.NotRun(problem.KindCustomerNotAllowed, "the key's customer may no longer use this route")
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// The bounds of the callers' interface.
+const (
+	// MaxHeaderBytes bounds the request line and header together.
+	MaxHeaderBytes = 16 << 10
+	// MaxBodyBytes bounds the body whatever the route allows.
+	MaxBodyBytes = 8 << 20
+	// unauthenticatedBodyBytes bounds the body of a request that is going to be
+	// refused, so that callers without a key can't fill the memory.
+	unauthenticatedBodyBytes = 64 << 10
+	// RequestReadTimeout bounds the time to receive a request.
+	RequestReadTimeout = 10 * time.Second
+	// responseWriteTimeout bounds the time to send a response to a slow caller.
+	responseWriteTimeout = 30 * time.Second
+	// idleTimeout closes caller connections without requests.
+	idleTimeout = 60 * time.Second
+	// DefaultMaxConnections bounds the callers' connections.
+	DefaultMaxConnections = 4096
+	// DefaultTimeout bounds requests of routes that set no bound.
+	DefaultTimeout = 30 * time.Second
+)
+
+// Dispatcher runs a request at an upstream. Its errors are *problem.Error. It
+// calls request.LastCheck immediately before the first byte of each attempt is
+// written.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, request *dispatch.Request, into *fasthttp.Response) error
+}
+
+// Config holds what a Gateway needs. All functions may be called concurrently.
+type Config struct {
+	// Snapshot returns the configuration; nil before the first.
+	Snapshot func() *configuration.Snapshot
+	// View returns the membership view; nil before the first.
+	View func() *fleet.View
+	// Regions returns the client blocks of the configuration; nil means none.
+	Regions func() *lookup.Table
+	Answers *lookup.Builder
+	Lease   traffic.Lease
+	Clock   traffic.Clock
+	Limiter traffic.Limiter
+	Claimer traffic.Claimer
+
+	Dispatcher Dispatcher
+	// Quarantined reports whether requests with a fingerprint are refused.
+	Quarantined func(fingerprint uint64) bool
+	// KeySuspended reports whether a key id may be about to be withdrawn.
+	KeySuspended func(keyID string) bool
+	// Draining is true once the host serves no new requests. A host that is
+	// leaving, but serves callers with cached answers, is not draining yet.
+	Draining func() bool
+
+	// MaxConnections bounds the callers' connections; 0 means the default.
+	MaxConnections int
+	// Registry takes the metrics; nil means the process's default one.
+	Registry metrics.Registry
+	Logger   zerolog.Logger
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	Config
+	server  *fasthttp.Server
+	metrics *gatewayMetrics
+}
+
+// New returns a Gateway.
+func New(config Config) *Gateway {
+	if config.MaxConnections <= 0 {
+		config.MaxConnections = DefaultMaxConnections
+	}
+	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
+	app := fiber.New(fiber.Config{
+		CaseSensitive:                true,
+		StrictRouting:                true,
+		BodyLimit:                    MaxBodyBytes,
+		ReadBufferSize:               MaxHeaderBytes,
+		ReadTimeout:                  RequestReadTimeout,
+		WriteTimeout:                 responseWriteTimeout,
+		IdleTimeout:                  idleTimeout,
+		DisablePreParseMultipartForm: true,
+		DisableDefaultContentType:    true,
+		ErrorHandler:                 g.routerError,
+		// The bounded listener refuses connections with a problem document; the
+		// server's own bound, which answers in plain text, must not come first.
+		Concurrency: 2 * config.MaxConnections,
+	})
+	app.Get(entryHostsPath, g.entryHosts)
+	own := app.Handler()
+
+	g.server = app.Server()
+	g.server.Handler = func(ctx *fasthttp.RequestCtx) { g.serve(ctx, own) }
+	g.server.ErrorHandler = g.parseError
+	g.server.HeaderReceived = g.headerReceived
+	g.server.SecureErrorLogMessage = true
+	return g
+}
+
+// Serve answers callers on a listener until Shutdown. It returns nil after that.
+func (g *Gateway) Serve(listener net.Listener) error {
+	return g.server.Serve(newBoundedListener(listener, g.MaxConnections, g.overloadedResponse()))
+}
+
+// Shutdown stops accepting connections, closes idle ones and waits until
+// running requests have been answered or the context ends.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	return g.server.ShutdownWithContext(ctx)
+}
+
+// leaseValid reports whether the host may serve keyed traffic now.
+func (g *Gateway) leaseValid() bool {
+	return g.Clock.Now().Instant < g.Lease.ValidUntil()
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// fakeClock is a fixed time with a lease that a test can end.
+type fakeClock struct{ leaseUntil atomic.Int64 }
+
+func (*fakeClock) Now() machine.Now              { return machine.Now{Instant: 1000, WallMillis: 1_800_000_000_000} }
+func (c *fakeClock) ValidUntil() machine.Instant { return machine.Instant(c.leaseUntil.Load()) }
+func (c *fakeClock) setLease(left time.Duration) { c.leaseUntil.Store(1000 + int64(left)) }
+
+// fakeTokens is a limiter that counts tokens.
+type fakeTokens struct {
+	refuse          error
+	spent, refunded atomic.Int64
+	invalid         atomic.Bool
+	// onAdmit runs in each Admit, while the request is queued.
+	onAdmit func()
+}
+
+func (l *fakeTokens) Admit(context.Context, fleet.Customer) (traffic.Admission, error) {
+	if l.onAdmit != nil {
+		l.onAdmit()
+	}
+	if l.refuse != nil {
+		return nil, l.refuse
+	}
+	l.spent.Add(1)
+	return l, nil
+}
+func (l *fakeTokens) Valid() bool { return !l.invalid.Load() }
+func (l *fakeTokens) Refund()     { l.refunded.Add(1) }
+
+// fakeClaims grants each operation once and remembers how claims ended.
+type fakeClaims struct {
+	mu      sync.Mutex
+	granted map[traffic.OperationID]bool
+	results map[traffic.OperationID]traffic.OperationResult
+	ended   []string
+	invalid bool
+}
+
+type fakeClaim struct {
+	claims *fakeClaims
+	id     traffic.OperationID
+}
+
+func newFakeClaims() *fakeClaims {
+	return &fakeClaims{granted: map[traffic.OperationID]bool{}, results: map[traffic.OperationID]traffic.OperationResult{}}
+}
+
+func (c *fakeClaims) Claim(_ context.Context, op traffic.Operation) (traffic.Claim, *traffic.OperationResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if result, ok := c.results[op.ID]; ok {
+		return nil, &result, nil
+	}
+	if c.granted[op.ID] {
+		return nil, nil, problem.New(problem.KindOperationUnknown, problem.OutcomeUnknown, "an earlier attempt may have run")
+	}
+	c.granted[op.ID] = true
+	return &fakeClaim{claims: c, id: op.ID}, nil, nil
+}
+
+func (c *fakeClaims) endings() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.ended...)
+}
+
+func (c *fakeClaim) end(how string, change func()) {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.ended = append(c.claims.ended, how)
+	change()
+}
+
+func (c *fakeClaim) Valid() bool { return !c.claims.invalid }
+func (c *fakeClaim) Complete(result traffic.OperationResult) {
+	c.end("complete", func() { c.claims.results[c.id] = result })
+}
+func (c *fakeClaim) Release() { c.end("release", func() { delete(c.claims.granted, c.id) }) }
+func (c *fakeClaim) Abandon() { c.end("abandon", func() {}) }
+
+// fixedPlacer always chooses one upstream.
+type fixedPlacer struct{ address netip.AddrPort }
+
+func (p fixedPlacer) Acquire(context.Context, traffic.PlaceRequest) (traffic.Slot, error) {
+	return p, nil
+}
+func (p fixedPlacer) Target() traffic.Target { return traffic.Target{Name: "u1", Address: p.address} }
+func (fixedPlacer) Release(traffic.Report)   {}
+
+// harness is a gateway on loopback with an upstream of the test.
+type harness struct {
+	*Gateway
+	clock     *fakeClock
+	tokens    *fakeTokens
+	claims    *fakeClaims
+	key       keys.Key
+	snapshot  atomic.Pointer[configuration.Snapshot]
+	view      atomic.Pointer[fleet.View]
+	suspended atomic.Bool
+	draining  atomic.Bool
+	poisoned  atomic.Bool
+	address   string
+	upstream  *fasthttp.Server
+}
+
+// newHarness starts a gateway and an upstream with a handler.
+func newHarness(t testing.TB, upstream fasthttp.RequestHandler, change func(*Config)) *harness {
+	h := &harness{clock: &fakeClock{}, tokens: &fakeTokens{}, claims: newFakeClaims(), key: keys.Generate()}
+	h.clock.setLease(time.Hour)
+	h.snapshot.Store(h.configuration(h.key))
+	h.upstream = &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		upstream(ctx)
+		ctx.Response.Header.SetBytesV(dispatch.HeaderRequestID, ctx.Request.Header.Peek(dispatch.HeaderRequestID))
+	}, MaxRequestBodySize: 16 << 20}
+	upstreamListener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = h.upstream.Serve(upstreamListener) }()
+
+	config := Config{
+		Snapshot: h.snapshot.Load, View: h.view.Load, Answers: lookup.NewBuilder(nil, 5*time.Second),
+		Lease: h.clock, Clock: h.clock, Limiter: h.tokens, Claimer: h.claims,
+		Dispatcher: dispatch.New(dispatch.Config{
+			Placer: fixedPlacer{upstreamListener.Addr().(*net.TCPAddr).AddrPort()}, Clock: h.clock, Registry: metrics.NewRegistry(),
+		}),
+		Quarantined:  func(uint64) bool { return h.poisoned.Load() },
+		KeySuspended: func(string) bool { return h.suspended.Load() },
+		Draining:     h.draining.Load,
+		Registry:     metrics.NewRegistry(),
+		Logger:       zerolog.Nop(),
+	}
+	if change != nil {
+		change(&config)
+	}
+	h.Gateway = New(config)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = h.Serve(listener) }()
+	h.address = listener.Addr().String()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = h.Shutdown(ctx)
+		_ = h.upstream.ShutdownWithContext(ctx)
+	})
+	return h
+}
+
+func (h *harness) configuration(key keys.Key) *configuration.Snapshot {
+	const timeoutMillis = 5000
+	route := func(name fleet.Route, access configuration.Access, semantics configuration.Semantics) configuration.Route {
+		return configuration.Route{
+			Name: name, PathPrefix: "/" + string(name), Pool: "p", Access: access, Semantics: semantics,
+			MaxBodyBytes: 1000, TimeoutMillis: timeoutMillis,
+		}
+	}
+	s := &configuration.Snapshot{
+		Revision: 1,
+		Routes: []configuration.Route{
+			route("open", configuration.AccessOpen, configuration.SemanticsIdempotent),
+			route("reads", configuration.AccessKeyed, configuration.SemanticsIdempotent),
+			route("orders", configuration.AccessKeyed, configuration.SemanticsAtMostOnce),
+			route("others", configuration.AccessKeyed, configuration.SemanticsIdempotent),
+		},
+		Customers: []configuration.Customer{
+			{ID: "c1", Keys: []configuration.Key{{ID: key.ID(), Digest: key.Digest().Hex()}}, Rate: 1, Burst: 1, Weight: 1},
+		},
+	}
+	s.Routes[3].Customers = []fleet.Customer{"c2"}
+	s.Index()
+	return s
+}
+
+// withdraw publishes a configuration in which the key is another one.
+func (h *harness) withdraw() { h.snapshot.Store(h.configuration(keys.Generate())) }
+
+// raw sends bytes on a new connection and returns the first response.
+func (h *harness) raw(t testing.TB, request string) *fasthttp.Response {
+	c, err := net.Dial("tcp", h.address)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(15*time.Second)))
+	_, err = c.Write([]byte(request))
+	require.NoError(t, err)
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(bufio.NewReader(c)))
+	return response
+}
+
+// ask sends a request with the harness's key and optional header lines.
+func (h *harness) ask(t testing.TB, method, target, headers, body string) *fasthttp.Response {
+	return h.raw(t, method+" "+target+" HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer "+h.key.Reveal()+
+		"\r\nContent-Length: "+itoa(len(body))+"\r\n"+headers+"\r\n"+body)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/problem"
+)
+
+// serve answers one request. Requests to upstreams don't pass fiber's router: it
+// refuses methods that it does not know and interprets a cookie of its own.
+func (g *Gateway) serve(ctx *fasthttp.RequestCtx, own fasthttp.RequestHandler) {
+	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	defer c.recoverPanic()
+	if err := checkFraming(&ctx.Request.Header); err != nil {
+		ctx.SetConnectionClose()
+		c.refuse(err)
+		return
+	}
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	path, err := canonicalPath(ctx.URI().PathOriginal())
+	if err != nil {
+		c.refuse(err)
+		return
+	}
+	if path == entryHostsPath {
+		ctx.SetUserValue(callKey{}, c)
+		own(ctx)
+		return
+	}
+	if err := c.forward(path); err != nil {
+		c.refuse(err)
+		return
+	}
+	c.finish()
+}
+
+type callKey struct{}
+
+// call is one request of a caller.
+type call struct {
+	g       *Gateway
+	ctx     *fasthttp.RequestCtx
+	id      string
+	started time.Time
+	// request is set once the request is handed to the dispatcher.
+	request *dispatch.Request
+}
+
+// recoverPanic turns a panic into a refusal of this request alone.
+func (c *call) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	c.g.Logger.Error().Str("request", c.id).Interface("panic", redactPanic(value)).Msg("request handler panicked")
+	outcome := problem.OutcomeNotRun
+	if c.request != nil && c.request.Written() {
+		outcome = problem.OutcomeUnknown
+	}
+	c.ctx.Response.Reset()
+	c.refuse(problem.New(problem.KindInternal, outcome, "the request failed inside the entry host"))
+}
+
+// refuse answers with a problem document.
+func (c *call) refuse(err error) {
+	var refused *problem.Error
+	if !errors.As(err, &refused) {
+		refused = problem.NotRun(problem.KindInternal, "the request failed inside the entry host").WithCause(err)
+	}
+	writeProblem(c.ctx, c.id, refused)
+	c.closeIfDraining()
+	c.g.metrics.refused(refused)
+}
+
+// finish completes the header of a response.
+func (c *call) finish() {
+	c.ctx.Response.Header.Set(dispatch.HeaderRequestID, c.id)
+	c.ctx.Response.Header.Set(headerOutcome, string(problem.OutcomeRun))
+	c.closeIfDraining()
+	c.g.metrics.answered(c.ctx.Response.StatusCode(), time.Since(c.started))
+}
+
+// closeIfDraining tells the caller to open no further request on the connection.
+func (c *call) closeIfDraining() {
+	if c.g.Draining() {
+		c.ctx.SetConnectionClose()
+	}
+}
+
+// routerError answers what fiber's router refuses.
+func (g *Gateway) routerError(fc fiber.Ctx, err error) error {
+	ctx := fc.RequestCtx()
+	c, ok := ctx.UserValue(callKey{}).(*call)
+	if !ok {
+		c = &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	}
+	var routed *fiber.Error
+	if errors.As(err, &routed) && routed.Code == fiber.StatusMethodNotAllowed {
+		err = problem.NotRun(problem.KindMethodNotAllowed, "entry hosts are looked up with GET")
+	}
+	c.refuse(err)
+	return nil
+}
+
+// parseError answers requests that could not be read. The connection is closed
+// after the answer.
+func (g *Gateway) parseError(ctx *fasthttp.RequestCtx, err error) {
+	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	lingerOnClose(ctx.Conn())
+	c.refuse(g.parseProblem(ctx, err))
+}
+
+func (g *Gateway) parseProblem(ctx *fasthttp.RequestCtx, err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.As(err, &small):
+		return problem.NotRun(problem.KindHeadersTooLarge, "the request line and header are larger than 16 KiB")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return g.bodyTooLarge(ctx)
+	case errors.As(err, &network) && network.Timeout():
+		return problem.NotRun(problem.KindRequestTimeout, "the request was not received in time")
+	default:
+		return problem.NotRun(problem.KindMalformed, "the request is not valid HTTP/1.1")
+	}
+}
+
+// bodyTooLarge refuses a body that is larger than the route allows. A caller
+// whose key is not valid is told that instead.
+func (g *Gateway) bodyTooLarge(ctx *fasthttp.RequestCtx) error {
+	if snapshot := g.Snapshot(); snapshot != nil {
+		if path, err := canonicalPath(requestPath(&ctx.Request.Header)); err == nil {
+			if route := snapshot.RouteFor(path); route != nil {
+				if _, err := g.authenticate(snapshot, route, &ctx.Request.Header); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return problem.NotRun(problem.KindBodyTooLarge, "the body is larger than the route allows")
+}
+
+// headerReceived bounds the body of a request by its route.
+func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodyLimit(header))}
+}
+
+func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) int {
+	snapshot := g.Snapshot()
+	if snapshot == nil {
+		return unauthenticatedBodyBytes
+	}
+	path, err := canonicalPath(requestPath(header))
+	if err != nil {
+		return unauthenticatedBodyBytes
+	}
+	route := snapshot.RouteFor(path)
+	if route == nil {
+		return unauthenticatedBodyBytes
+	}
+	limit := min(route.MaxBodyBytes, MaxBodyBytes)
+	if _, err := g.authenticate(snapshot, route, header); err != nil {
+		return min(limit, unauthenticatedBodyBytes)
+	}
+	return limit
+}
