Add a thin membership state machine

Cause: the other modules wait for the view and the lease. Change: roster, heartbeats, lease, retirement, balance of weight and partitions; Node.Killed in the fault rig.

--- a/internal/faulttest/rig.go
+++ b/internal/faulttest/rig.go
@@ -263,6 +263,9 @@
 // Kill stops the node for good. Messages to it are lost.
 func (n *Node) Kill() { n.down = true }
 
+// Killed reports whether the node is stopped for good.
+func (n *Node) Killed() bool { return n.down }
+
 // Running reports whether the node is neither killed nor paused.
 func (n *Node) Running() bool { return !n.down && !n.paused }
 
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,7 @@
+// Package membership decides which hosts form a cell, which of them may act on
+// the state they hold, and how weight and partitions are divided between them.
+//
+// It is a state machine without clock, goroutine or socket. README.md describes
+// the rules that keep two incarnations from holding the same weight or
+// partition at the same time, and why they hold.
+package membership
--- /dev/null
+++ b/membership/inputs.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"net/netip"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// Leave asks the host to leave the cell. Left follows when its weight and its
+// partitions are handed over.
+type Leave struct{}
+
+// MachineInput marks Leave as an input.
+func (Leave) MachineInput() {}
+
+// SetLoad sets the advertised load, 0 to 1.
+type SetLoad struct {
+	Load float64
+}
+
+// MachineInput marks SetLoad as an input.
+func (SetLoad) MachineInput() {}
+
+// SetRevision sets the configuration revision that the host advertises.
+type SetRevision struct {
+	Revision fleet.Revision
+}
+
+// MachineInput marks SetRevision as an input.
+func (SetRevision) MachineInput() {}
+
+// SetUncommitted says that the host is about to grant claims that are not in
+// the store. It must not do so before UncommittedAcknowledged.
+type SetUncommitted struct {
+	// Since is returned by UncommittedAcknowledged.
+	Since machine.Instant
+}
+
+// MachineInput marks SetUncommitted as an input.
+func (SetUncommitted) MachineInput() {}
+
+// ClearUncommitted says that every claim of the host is in the store.
+type ClearUncommitted struct{}
+
+// MachineInput marks ClearUncommitted as an input.
+func (ClearUncommitted) MachineInput() {}
+
+// PlatformHosts is the platform's list of entry hosts. It is a hint: it
+// supplies addresses, and replaces the missing answers of hosts that no longer
+// exist when a majority of the roster is gone.
+type PlatformHosts struct {
+	Hosts []PlatformHost
+}
+
+// MachineInput marks PlatformHosts as an input.
+func (PlatformHosts) MachineInput() {}
+
+// PlatformHost is one entry host of the platform's list.
+type PlatformHost struct {
+	Host        fleet.HostID
+	PeerAddress netip.AddrPort
+	// Live is false if the platform says that the host is leaving.
+	Live bool
+}
+
+// PeerAddresses are the peers named in the settings. They are asked for the
+// roster while the store can't be reached.
+type PeerAddresses struct {
+	Peers map[fleet.HostID]netip.AddrPort
+}
+
+// MachineInput marks PeerAddresses as an input.
+func (PeerAddresses) MachineInput() {}
+
+// ViewPublished carries a new view. It must be carried out before the outputs
+// that follow it: they may confirm to peers that the view is in force.
+type ViewPublished struct {
+	View *fleet.View
+}
+
+// MachineOutput marks ViewPublished as an output.
+func (ViewPublished) MachineOutput() {}
+
+// LeaseRenewed carries the end of the host's lease. The end moves back only if
+// the incarnation was retired or has left; the lease is then over at once.
+type LeaseRenewed struct {
+	ValidUntil machine.Instant
+}
+
+// MachineOutput marks LeaseRenewed as an output.
+func (LeaseRenewed) MachineOutput() {}
+
+// Retired says that this incarnation was retired. The machine does nothing
+// from then on; the process starts another one with a new incarnation.
+type Retired struct{}
+
+// MachineOutput marks Retired as an output.
+func (Retired) MachineOutput() {}
+
+// Left says that the host has left the cell and may exit.
+type Left struct{}
+
+// MachineOutput marks Left as an output.
+func (Left) MachineOutput() {}
+
+// ContactsChanged carries the addresses of all peers that the host may send to.
+type ContactsChanged struct {
+	Peers map[fleet.HostID]netip.AddrPort
+}
+
+// MachineOutput marks ContactsChanged as an output.
+func (ContactsChanged) MachineOutput() {}
+
+// RevisionSeen carries the highest configuration revision that peers advertise.
+type RevisionSeen struct {
+	Revision fleet.Revision
+	// Holders advertise the revision, sorted by host id.
+	Holders []fleet.HostID
+}
+
+// MachineOutput marks RevisionSeen as an output.
+func (RevisionSeen) MachineOutput() {}
+
+// UncommittedAcknowledged says that a majority remembers that the host grants
+// uncommitted claims.
+type UncommittedAcknowledged struct {
+	Since machine.Instant
+}
+
+// MachineOutput marks UncommittedAcknowledged as an output.
+func (UncommittedAcknowledged) MachineOutput() {}
--- /dev/null
+++ b/membership/scenario_test.go
@@ -0,0 +1,198 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/faulttest"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// lease is the lease duration of all scenarios.
+const lease = MinLeaseDuration
+
+// process is one incarnation under test and what it believes.
+type process struct {
+	node    *faulttest.Node
+	machine machine.Machine
+	view    *fleet.View
+	until   machine.Instant
+	retired bool
+	left    bool
+}
+
+// believes reports whether the process thinks that its lease is valid. A paused
+// process still believes until its own clock says otherwise.
+func (p *process) believes() bool {
+	return p.view != nil && !p.retired && !p.left && p.node.Time().Instant < p.until
+}
+
+// cellScenario is a cell of hosts over three regions.
+type cellScenario struct {
+	rig        *faulttest.Rig
+	build      func(o Options) machine.Machine
+	hosts      []fleet.HostID
+	running    map[fleet.HostID]*process
+	all        []*process
+	violations []string
+	play       func(s *cellScenario)
+	lost       map[fleet.HostID]bool // hosts that a fault killed for good
+	outputs    func(p *process, out machine.Output)
+}
+
+var scenarioRegions = []fleet.Region{"ostland", "vestland", "nordland"}
+
+func newCell(seed uint64, hosts int, build func(o Options) machine.Machine) *cellScenario {
+	s := &cellScenario{
+		rig:     faulttest.New(seed),
+		build:   build,
+		running: map[fleet.HostID]*process{},
+		lost:    map[fleet.HostID]bool{},
+	}
+	s.rig.OnOutput = s.output
+	for i := range hosts {
+		s.hosts = append(s.hosts, fleet.HostID(fmt.Sprintf("host-%02d", i)))
+	}
+	return s
+}
+
+func (s *cellScenario) Rig() *faulttest.Rig { return s.rig }
+
+func (s *cellScenario) Run() { s.play(s) }
+
+// start starts a new incarnation of a host.
+func (s *cellScenario) start(id fleet.HostID) *process {
+	member := fleet.Member{Host: id, Incarnation: s.rig.Incarnation()}
+	index := 0
+	for i, host := range s.hosts {
+		if host == id {
+			index = i
+		}
+	}
+	region := scenarioRegions[index%len(scenarioRegions)]
+	p := &process{}
+	p.machine = s.build(Options{
+		Self:          member,
+		Location:      fleet.Location{Region: region, FailureDomain: fleet.FailureDomain(region + "-1")},
+		Cell:          "a",
+		LeaseDuration: lease,
+		LeaveDelay:    lease / 4,
+		Rand:          rand.New(rand.NewPCG(s.rig.Rand.Uint64(), 1)),
+	})
+	p.node = s.rig.AddNode(member, p.machine)
+	s.running[id] = p
+	s.all = append(s.all, p)
+	return p
+}
+
+func (s *cellScenario) startAll() {
+	for _, id := range s.hosts {
+		s.start(id)
+	}
+}
+
+// replace starts a new incarnation in place of one that is killed.
+func (s *cellScenario) replace(id fleet.HostID) {
+	s.running[id].node.Kill()
+	s.start(id)
+}
+
+func (s *cellScenario) process(n *faulttest.Node) *process {
+	for _, p := range s.all {
+		if p.node == n {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *cellScenario) output(n *faulttest.Node, out machine.Output) {
+	p := s.process(n)
+	switch out := out.(type) {
+	case ViewPublished:
+		p.view = out.View
+	case LeaseRenewed:
+		p.until = out.ValidUntil
+	case Retired:
+		p.retired = true
+		if s.running[n.Member.Host] == p {
+			s.rig.After(50*time.Millisecond, func() { s.replace(n.Member.Host) })
+		}
+	case Left:
+		p.left = true
+	}
+	if s.outputs != nil {
+		s.outputs(p, out)
+	}
+	s.checkHoldings()
+}
+
+// checkHoldings guards the property that everything else rests on: what all
+// incarnations with a valid lease believe to hold never exceeds the whole.
+func (s *cellScenario) checkHoldings() {
+	weight := uint32(0)
+	var owners [fleet.Partitions]*process
+	for _, p := range s.all {
+		if p.node.Killed() || !p.believes() {
+			continue
+		}
+		for i := range p.view.Members {
+			if p.view.Members[i].Member == p.view.Self {
+				weight += p.view.Members[i].Weight
+			}
+		}
+		for i := range owners {
+			if !p.view.Owns(i) {
+				continue
+			}
+			if other := owners[i]; other != nil {
+				s.violate("partition %d owned by %s and %s", i, other.node.Member, p.node.Member)
+			}
+			owners[i] = p
+		}
+	}
+	if weight > fleet.TotalWeight {
+		s.violate("weights sum to %d", weight)
+	}
+}
+
+func (s *cellScenario) violate(format string, args ...any) {
+	if len(s.violations) < 3 {
+		text := fmt.Sprintf(format, args...)
+		s.rig.Logf("VIOLATION %s", text)
+		s.violations = append(s.violations, fmt.Sprintf("%s: %s", time.Duration(s.rig.Now())-time.Hour, text))
+	}
+}
+
+// Check adds what must hold at the end of a run: every running host holds a
+// lease, and nothing is left unused.
+func (s *cellScenario) Check() []string {
+	weight := uint32(0)
+	owned := 0
+	for _, id := range s.hosts {
+		p := s.running[id]
+		if s.lost[id] || p.left {
+			continue
+		}
+		if !p.believes() {
+			s.violate("%s holds no lease at the end", p.node.Member)
+			continue
+		}
+		for i := range p.view.Members {
+			if p.view.Members[i].Member == p.view.Self {
+				weight += p.view.Members[i].Weight
+			}
+		}
+		for i := range p.view.Partitions {
+			if p.view.Owns(i) {
+				owned++
+			}
+		}
+	}
+	if weight != fleet.TotalWeight || owned != fleet.Partitions {
+		s.violate("at the end weight %d and %d partitions are in use", weight, owned)
+	}
+	return s.violations
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,175 @@
+package membership
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// publishState remembers what was published last.
+type publishState struct {
+	view     *fleet.View
+	next     machine.Instant
+	revision RevisionSeen
+}
+
+// contactState collects the addresses of peers.
+type contactState struct {
+	settings   map[fleet.HostID]netip.AddrPort
+	platform   map[fleet.HostID]PlatformHost
+	platformAt machine.Instant
+	published  map[fleet.HostID]netip.AddrPort
+	order      []fleet.HostID
+}
+
+// unlistedSince reports whether a list of the platform that arrived after an
+// instant does not name the host as live.
+func (c *contactState) unlistedSince(host fleet.HostID, after machine.Instant) bool {
+	return c.platform != nil && c.platformAt > after && !c.platform[host].Live
+}
+
+func (m *Membership) setPlatformHosts(in PlatformHosts) {
+	m.contacts.platform = make(map[fleet.HostID]PlatformHost, len(in.Hosts))
+	m.contacts.platformAt = m.now.Instant
+	for _, h := range in.Hosts {
+		m.contacts.platform[h.Host] = h
+	}
+	m.publishContacts()
+}
+
+// publishContacts reports the addresses of peers if they changed. The roster
+// counts more than the settings, and these more than the platform's list.
+func (m *Membership) publishContacts() {
+	contacts := map[fleet.HostID]netip.AddrPort{}
+	for id, h := range m.contacts.platform {
+		contacts[id] = h.PeerAddress
+	}
+	maps.Copy(contacts, m.contacts.settings)
+	if m.known != nil {
+		for i := len(m.known.Entries) - 1; i >= 0; i-- {
+			contacts[m.known.Entries[i].Host] = m.known.Entries[i].Peer
+		}
+	}
+	delete(contacts, m.o.Self.Host)
+	maps.DeleteFunc(contacts, func(_ fleet.HostID, a netip.AddrPort) bool { return !a.IsValid() })
+	if maps.Equal(contacts, m.contacts.published) {
+		return
+	}
+	m.contacts.published = contacts
+	m.contacts.order = slices.Sorted(maps.Keys(contacts))
+	m.emit(ContactsChanged{Peers: maps.Clone(contacts)})
+}
+
+// publishView publishes the view after a change of the roster.
+func (m *Membership) publishView() {
+	m.published.view = m.view()
+	m.emit(ViewPublished{View: m.published.view})
+}
+
+// publishSoftChanges publishes the view, at most once per heartbeat interval,
+// if what is known of the members changed.
+func (m *Membership) publishSoftChanges() {
+	if m.known == nil || m.now.Instant < m.published.next {
+		return
+	}
+	m.published.next = m.now.Instant.Add(m.heartbeatInterval())
+	view := m.view()
+	if slices.Equal(view.Members, m.published.view.Members) {
+		return
+	}
+	m.published.view = view
+	m.emit(ViewPublished{View: view})
+}
+
+func (m *Membership) view() *fleet.View {
+	v := &fleet.View{Version: m.known.Generation, Self: m.o.Self}
+	v.Members = make([]fleet.ViewMember, 0, len(m.known.Entries))
+	for i := range m.known.Entries {
+		v.Members = append(v.Members, m.viewMember(&m.known.Entries[i]))
+	}
+	owners := make(map[fleet.Incarnation]fleet.Member, len(m.known.Entries))
+	for i := range m.known.Entries {
+		e := &m.known.Entries[i]
+		if e.Incarnation != m.o.Self.Incarnation || m.holds(e) {
+			owners[e.Incarnation] = e.member()
+		}
+	}
+	for i := range m.known.Partitions {
+		v.Partitions[i] = viewPartition(&m.known.Partitions[i], owners)
+	}
+	return v
+}
+
+// holds reports whether this host may use what its entry gives it.
+func (m *Membership) holds(self *entry) bool {
+	return self.live() && !m.leaving.fenced
+}
+
+func viewPartition(p *partition, owners map[fleet.Incarnation]fleet.Member) fleet.Partition {
+	v := fleet.Partition{
+		Epoch:               p.Epoch,
+		Previous:            p.Previous,
+		PreviousUncommitted: p.Uncommitted,
+		TakenOverMillis:     p.TakenOver,
+	}
+	// While a partition moves, nobody acts on it.
+	if p.Next.IsZero() {
+		v.Owner = owners[p.Owner]
+	}
+	return v
+}
+
+func (m *Membership) viewMember(e *entry) fleet.ViewMember {
+	v := fleet.ViewMember{
+		Member:        e.member(),
+		Location:      fleet.Location{Region: e.Region, FailureDomain: e.Domain},
+		State:         fleetStates[e.State],
+		PeerAddress:   e.Peer,
+		CallerAddress: e.Caller,
+		Weight:        e.Weight,
+		Confirmed:     m.confirmed(e.Incarnation),
+	}
+	if e.Incarnation == m.o.Self.Incarnation {
+		v.Reachable = true
+		v.Load = m.load
+		if !m.holds(e) {
+			v.Weight = 0
+		}
+		return v
+	}
+	p := m.peers[e.Incarnation]
+	v.Load = p.load
+	v.Reachable = p.everHeard && m.now.Instant.Sub(p.answered) <= m.o.LeaseDuration
+	if p.draining && e.State == stateActive {
+		v.State = fleet.StateLeaving
+	}
+	return v
+}
+
+// noteRevision publishes the highest revision of the peers and who has it.
+func (m *Membership) noteRevision(p *peer, revision fleet.Revision) {
+	if p.revision == revision {
+		return
+	}
+	p.revision = revision
+	seen := RevisionSeen{}
+	for _, other := range m.peers {
+		if other.revision < seen.Revision || other.revision == 0 {
+			continue
+		}
+		if other.revision > seen.Revision {
+			seen = RevisionSeen{Revision: other.revision}
+		}
+		seen.Holders = append(seen.Holders, other.host)
+	}
+	slices.Sort(seen.Holders)
+	last := m.published.revision
+	if seen.Revision == last.Revision && slices.Equal(seen.Holders, last.Holders) {
+		return
+	}
+	m.published.revision = seen
+	m.emit(RevisionSeen{Revision: seen.Revision, Holders: slices.Clone(seen.Holders)})
+}
