Add the store adapter, settings and the configuration state machine

Modules so far had only interfaces for the object store, the settings file and release notes. This adds the HTTP adapter with its call runner, strict parsing of JSON with comments for settings and notes, and the state machine that announces, accepts, distributes, resolves and repairs revisions.

--- /dev/null
+++ b/configuration/pull.go
@@ -0,0 +1,312 @@
+package configuration
+
+import (
+	"maps"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// headTimeout is how long a host waits for a head from a peer.
+	headTimeout = 300 * time.Millisecond
+	// shardTimeout is how long a host waits for a shard from a peer.
+	shardTimeout = 400 * time.Millisecond
+	// maxFetches bounds the shards that are fetched at a time.
+	maxFetches = 16
+	// askedAtStart bounds the peers that are asked in one try at the start.
+	askedAtStart = 3
+	// peerMemory is how long the revision of a host counts after it was last
+	// heard. It is twice the longest time between heartbeats (T/8 at T = 60 s).
+	peerMemory = 15 * time.Second
+	// storeEvery is the number of tries after which the store is asked for the
+	// head beside a peer.
+	storeEvery = 3
+)
+
+// heardRevision is what a host was heard to have.
+type heardRevision struct {
+	revision fleet.Revision
+	at       machine.Instant
+}
+
+// chase is the search for the head of a revision that peers have.
+type chase struct {
+	tries int
+	next  machine.Instant
+}
+
+// pull fetches the shards of a head that is newer than the current one.
+type pull struct {
+	head *Head
+	raw  []byte
+	// from is the host that sent the head; empty if it came from the store.
+	from    fleet.HostID
+	missing []*fetch
+}
+
+// fetch is the search for one shard.
+type fetch struct {
+	digest Digest
+	tries  int
+	// waiting is true while a request is open, for a peer until the timeout.
+	waiting bool
+	timeout machine.Instant
+	store   bool
+	retryAt machine.Instant
+}
+
+// heard notes the revision of a host.
+func (m *Machine) heard(host fleet.HostID, revision fleet.Revision) {
+	if host == m.self.Host {
+		return
+	}
+	if revision > m.wanted() {
+		m.chase = chase{}
+	}
+	// A lower revision neither replaces nor refreshes a higher one: it may be
+	// late, or the host may have been replaced, and then the entry expires.
+	if revision >= m.peers[host].revision {
+		m.peers[host] = heardRevision{revision: revision, at: m.now.Instant}
+	}
+}
+
+// forgetPeers drops hosts that were not heard of for a while, so that a
+// revision that was lost with its only holder isn't waited for.
+func (m *Machine) forgetPeers() {
+	maps.DeleteFunc(m.peers, func(_ fleet.HostID, h heardRevision) bool {
+		return m.now.Instant.Sub(h.at) > peerMemory
+	})
+}
+
+// wanted returns the highest revision that a peer was heard to have.
+func (m *Machine) wanted() fleet.Revision {
+	var highest fleet.Revision
+	for _, h := range m.peers {
+		highest = max(highest, h.revision)
+	}
+	return highest
+}
+
+// askForHead asks a few members for their head while this host has none.
+func (m *Machine) askForHead() {
+	others := m.others()
+	for i := range min(askedAtStart, len(others)) {
+		m.send(others[(m.chase.tries*askedAtStart+i)%len(others)].Host, HeadRequest{})
+	}
+	m.chase.tries++
+}
+
+// advancePull does what can be done now to catch up. It runs in every step.
+func (m *Machine) advancePull() {
+	reached := m.Revision()
+	if m.pull != nil {
+		m.fetchMissing()
+		reached = max(reached, m.pullRevision())
+	}
+	if m.wanted() <= reached || m.now.Instant < m.chase.next {
+		return
+	}
+	m.chase.next = m.now.Instant.Add(headTimeout)
+	hosts := m.hostsWith(reached + 1)
+	m.send(hosts[m.chase.tries%len(hosts)], HeadRequest{})
+	if m.chase.tries%storeEvery == storeEvery-1 {
+		m.readForChange()
+	}
+	m.chase.tries++
+}
+
+func (m *Machine) pullRevision() fleet.Revision {
+	if m.pull == nil {
+		return 0
+	}
+	return m.pull.head.Revision
+}
+
+func (m *Machine) receiveHead(from fleet.Member, answer HeadAnswer) {
+	if len(answer.Head) == 0 || len(answer.Head) > maxShardMessage {
+		return
+	}
+	head, err := decodeHead(answer.Head)
+	if err != nil {
+		m.event(EventMalformed, headName, "from %s: %v", from.Host, err)
+		return
+	}
+	m.heard(from.Host, head.Revision)
+	if head.Revision > m.Revision() {
+		m.startPull(head, answer.Head, from.Host)
+	}
+}
+
+// startPull begins to fetch the shards of a head, or goes on with an equal one.
+func (m *Machine) startPull(head *Head, raw []byte, from fleet.HostID) {
+	if m.pullRevision() >= head.Revision {
+		return
+	}
+	m.pull = &pull{head: head, raw: raw, from: from}
+	for _, digest := range head.Shards {
+		if !m.holds(digest) {
+			m.pull.missing = append(m.pull.missing, &fetch{digest: digest})
+		}
+	}
+	m.finishPull()
+}
+
+func (m *Machine) holds(digest Digest) bool {
+	if _, ok := m.shards[digest]; ok {
+		return true
+	}
+	_, ok := m.fetched[digest]
+	return ok
+}
+
+// fetchMissing asks for shards: first where the head came from, then in turn
+// from the store and from peers that have the revision.
+func (m *Machine) fetchMissing() {
+	waiting := 0
+	requests := map[fleet.HostID][]Digest{}
+	var order []fleet.HostID
+	for _, f := range m.pull.missing {
+		if f.waiting && !f.store && m.now.Instant >= f.timeout {
+			f.waiting = false
+			f.tries++
+		}
+		if f.waiting {
+			waiting++
+			continue
+		}
+		if waiting >= maxFetches || m.now.Instant < f.retryAt {
+			continue
+		}
+		waiting++
+		host := m.source(f)
+		if host == "" {
+			m.fetchFromStore(f)
+			continue
+		}
+		f.waiting, f.timeout = true, m.now.Instant.Add(shardTimeout)
+		if len(requests[host]) == 0 {
+			order = append(order, host)
+		}
+		requests[host] = append(requests[host], f.digest)
+	}
+	for _, host := range order {
+		m.requestShards(host, requests[host])
+	}
+}
+
+func (m *Machine) requestShards(host fleet.HostID, digests []Digest) {
+	for len(digests) > 0 {
+		n := min(len(digests), maxShardsPerRequest)
+		m.send(host, ShardRequest{Digests: digests[:n]})
+		digests = digests[n:]
+	}
+}
+
+// source returns the host to ask next for a shard, or none for the store.
+func (m *Machine) source(f *fetch) fleet.HostID {
+	fromPeer := (f.tries%2 == 0) == (m.pull.from != "")
+	if !fromPeer {
+		return ""
+	}
+	if f.tries == 0 {
+		return m.pull.from
+	}
+	hosts := m.hostsWith(m.pull.head.Revision)
+	if len(hosts) == 0 {
+		return ""
+	}
+	return hosts[(f.tries/2)%len(hosts)]
+}
+
+func (m *Machine) fetchFromStore(f *fetch) {
+	f.waiting, f.store = true, true
+	m.store(machine.StoreCall{Op: machine.StoreGet, Key: f.digest.key()}, func(result machine.StoreResult) {
+		f.waiting, f.store = false, false
+		if result.Outcome != machine.StoreOK {
+			f.tries++
+			f.retryAt = m.now.Instant.Add(retryInterval)
+			return
+		}
+		m.takeShard(f.digest, result.Value)
+	})
+}
+
+func (m *Machine) answerShards(from fleet.Member, request ShardRequest) {
+	for i, digest := range request.Digests {
+		if i >= maxShardsPerRequest {
+			return
+		}
+		m.send(from.Host, ShardAnswer{Digest: digest, Content: m.shards[digest]})
+	}
+}
+
+func (m *Machine) receiveShard(answer ShardAnswer) {
+	if len(answer.Content) > 0 && len(answer.Content) <= maxShardMessage {
+		m.takeShard(answer.Digest, answer.Content)
+		return
+	}
+	if f := m.findFetch(answer.Digest); f != nil && f.waiting && !f.store {
+		f.waiting = false
+		f.tries++
+	}
+}
+
+func (m *Machine) findFetch(digest Digest) *fetch {
+	if m.pull == nil {
+		return nil
+	}
+	for _, f := range m.pull.missing {
+		if f.digest == digest {
+			return f
+		}
+	}
+	return nil
+}
+
+// takeShard keeps a shard that the pull needs.
+func (m *Machine) takeShard(digest Digest, raw []byte) {
+	f := m.findFetch(digest)
+	if f == nil {
+		return
+	}
+	if err := checkShard(digest, raw); err != nil {
+		m.event(EventMalformed, digest.String(), "%v", err)
+		f.waiting = f.store
+		f.tries++
+		return
+	}
+	m.fetched[digest] = raw
+	missing := m.pull.missing[:0:0]
+	for _, other := range m.pull.missing {
+		if other != f {
+			missing = append(missing, other)
+		}
+	}
+	m.pull.missing = missing
+	m.finishPull()
+}
+
+// finishPull puts the revision in force once all shards are there.
+func (m *Machine) finishPull() {
+	p := m.pull
+	if len(p.missing) > 0 {
+		return
+	}
+	shards := make(map[Digest][]byte, len(p.head.Shards))
+	for _, digest := range p.head.Shards {
+		raw, ok := m.shards[digest]
+		if !ok {
+			raw = m.fetched[digest]
+		}
+		shards[digest] = raw
+	}
+	m.pull = nil
+	snapshot, err := decodeSnapshot(p.head, shards)
+	if err != nil {
+		m.event(EventMalformed, headName, "%v", err)
+		return
+	}
+	m.adopt(p.head, p.raw, snapshot, shards)
+}
--- /dev/null
+++ b/internal/jsonc/decode.go
@@ -0,0 +1,299 @@
+package jsonc
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// Decode reads a text into a pointer to a struct. Fields that the text does not
+// hold keep their values. A struct field with the tag secret:"true" is never
+// shown in a problem. Supported are structs, slices, maps with string keys,
+// strings, booleans, integers, floats, time.Duration written as a string such
+// as "10s", and types with UnmarshalText.
+func Decode(text []byte, into any) *Document {
+	d := &Document{
+		text:    text,
+		offsets: map[string]int{"": 0},
+		values:  map[string]string{},
+		secrets: map[string]bool{},
+		failed:  map[string]bool{},
+	}
+	if !utf8.Valid(text) {
+		d.add(0, "", "", "must be UTF-8")
+		return d
+	}
+	if offset, ok := tooDeep(text); ok {
+		d.add(offset, "", "", fmt.Sprintf("must not be nested deeper than %d levels", maxDepth))
+		return d
+	}
+	value, err := hujson.Parse(append([]byte(nil), text...))
+	if err != nil {
+		d.addSyntaxError(err)
+		return d
+	}
+	d.decode("", value, reflect.ValueOf(into).Elem())
+	return d
+}
+
+// addSyntaxError takes the position out of an error of hujson, which has no
+// other way to tell it.
+func (d *Document) addSyntaxError(err error) {
+	d.failed[""] = true
+	var line, column int
+	message := err.Error()
+	if _, scanErr := fmt.Sscanf(message, "hujson: line %d, column %d:", &line, &column); scanErr == nil {
+		message = strings.SplitN(message, ": ", 3)[2]
+	}
+	d.problems = append(d.problems, Problem{Line: max(1, line), Column: max(1, column), Want: "syntax: " + message})
+}
+
+// tooDeep returns the offset at which the nesting exceeds maxDepth.
+func tooDeep(text []byte) (int, bool) {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case c == '"':
+			i = skipString(text, i)
+		case c == '/' && i+1 < len(text) && text[i+1] == '/':
+			i = skipTo(text, i, "\n")
+		case c == '/' && i+1 < len(text) && text[i+1] == '*':
+			i = skipTo(text, i+2, "*/")
+		case c == '{' || c == '[':
+			if depth++; depth > maxDepth {
+				return i, true
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return 0, false
+}
+
+func skipString(text []byte, i int) int {
+	for i++; i < len(text) && text[i] != '"'; i++ {
+		if text[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+func skipTo(text []byte, i int, end string) int {
+	n := strings.Index(string(text[min(i, len(text)):]), end)
+	if n < 0 {
+		return len(text)
+	}
+	return i + n + len(end) - 1
+}
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	textType     = reflect.TypeFor[encoding.TextUnmarshaler]()
+)
+
+func (d *Document) decode(path string, v hujson.Value, into reflect.Value) {
+	d.offsets[path] = v.StartOffset
+	literal, isLiteral := v.Value.(hujson.Literal)
+	if isLiteral {
+		d.values[path] = string(literal)
+	}
+	switch {
+	case into.Type() == durationType:
+		d.decodeDuration(path, v, into)
+	case reflect.PointerTo(into.Type()).Implements(textType):
+		d.decodeText(path, v, into)
+	default:
+		d.decodeKind(path, v, into)
+	}
+}
+
+func (d *Document) decodeKind(path string, v hujson.Value, into reflect.Value) {
+	switch into.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(path, v, into)
+	case reflect.Map:
+		d.decodeMap(path, v, into)
+	case reflect.Slice:
+		d.decodeSlice(path, v, into)
+	case reflect.String:
+		if text, ok := d.stringOf(path, v, "must be a string"); ok {
+			into.SetString(text)
+		}
+	case reflect.Bool:
+		if kind := v.Value.Kind(); kind != 't' && kind != 'f' {
+			d.Fail(path, "must be true or false")
+			return
+		}
+		into.SetBool(v.Value.Kind() == 't')
+	case reflect.Int, reflect.Int64:
+		d.decodeInt(path, v, into)
+	case reflect.Float64:
+		d.decodeFloat(path, v, into)
+	default:
+		d.Fail(path, "has a type that cannot be read: "+into.Type().String())
+	}
+}
+
+func (d *Document) stringOf(path string, v hujson.Value, want string) (string, bool) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.Fail(path, want)
+		return "", false
+	}
+	return literal.String(), true
+}
+
+func (d *Document) decodeDuration(path string, v hujson.Value, into reflect.Value) {
+	const want = `must be a duration in quotes such as "250ms" or "10s"`
+	text, ok := d.stringOf(path, v, want)
+	if !ok {
+		return
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fail(path, want)
+		return
+	}
+	into.SetInt(int64(duration))
+}
+
+func (d *Document) decodeText(path string, v hujson.Value, into reflect.Value) {
+	text, ok := d.stringOf(path, v, "must be a string")
+	if !ok {
+		return
+	}
+	if err := into.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(text)); err != nil {
+		d.Fail(path, wantOf(into.Type(), err))
+	}
+}
+
+func wantOf(t reflect.Type, err error) string {
+	switch t.Name() {
+	case "AddrPort":
+		return `must be an IP address and a port such as "127.0.0.1:7000" or "[::1]:7000"`
+	case "Prefix":
+		return `must be a block of addresses such as "192.0.2.0/24"`
+	case "Addr":
+		return `must be an IP address`
+	}
+	return err.Error()
+}
+
+func (d *Document) decodeInt(path string, v hujson.Value, into reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		d.Fail(path, "must be a whole number")
+		return
+	}
+	n, err := strconv.ParseInt(string(literal), 10, into.Type().Bits())
+	if err != nil {
+		d.Fail(path, "must be a whole number")
+		return
+	}
+	into.SetInt(n)
+}
+
+func (d *Document) decodeFloat(path string, v hujson.Value, into reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		d.Fail(path, "must be a number")
+		return
+	}
+	f, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil {
+		d.Fail(path, "must be a number in the range of a 64-bit float")
+		return
+	}
+	into.SetFloat(f)
+}
+
+func (d *Document) decodeSlice(path string, v hujson.Value, into reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.Fail(path, "must be a list [ ... ]")
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.decode(Index(path, i), element, into.Index(i))
+	}
+}
+
+func (d *Document) decodeMap(path string, v hujson.Value, into reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.Fail(path, "must be an object { ... }")
+		return
+	}
+	into.Set(reflect.MakeMapWithSize(into.Type(), len(object.Members)))
+	for name, member := range d.members(path, object) {
+		value := reflect.New(into.Type().Elem()).Elem()
+		d.decode(Field(path, name), member.Value, value)
+		into.SetMapIndex(reflect.ValueOf(name).Convert(into.Type().Key()), value)
+	}
+}
+
+// members iterates over the members of an object and reports repeated names.
+func (d *Document) members(path string, object *hujson.Object) func(func(string, hujson.ObjectMember) bool) {
+	return func(yield func(string, hujson.ObjectMember) bool) {
+		seen := map[string]bool{}
+		for _, member := range object.Members {
+			name := member.Name.Value.(hujson.Literal).String()
+			if seen[name] {
+				d.report(member.Name.StartOffset, Field(path, name), "", "is given twice; leave one of them out")
+				continue
+			}
+			seen[name] = true
+			if !yield(name, member) {
+				return
+			}
+		}
+	}
+}
+
+func (d *Document) decodeStruct(path string, v hujson.Value, into reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.Fail(path, "must be an object { ... }")
+		return
+	}
+	names, fields := structFields(into)
+	for name, member := range d.members(path, object) {
+		field, known := fields[name]
+		if !known {
+			d.add(member.Name.StartOffset, Field(path, name), "", "is not a known field; known are "+strings.Join(names, ", "))
+			continue
+		}
+		if field.secret {
+			d.secrets[Field(path, name)] = true
+		}
+		d.decode(Field(path, name), member.Value, field.value)
+	}
+}
+
+type structField struct {
+	value  reflect.Value
+	secret bool
+}
+
+func structFields(into reflect.Value) ([]string, map[string]structField) {
+	var names []string
+	fields := map[string]structField{}
+	for i := range into.NumField() {
+		tag := into.Type().Field(i).Tag
+		name, _, _ := strings.Cut(tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		names = append(names, name)
+		fields[name] = structField{value: into.Field(i), secret: tag.Get("secret") == "true"}
+	}
+	return names, fields
+}
--- /dev/null
+++ b/internal/jsonc/document.go
@@ -0,0 +1,189 @@
+package jsonc
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+const (
+	// maxProblems bounds the problems that are kept of one text.
+	maxProblems = 200
+	// maxDepth bounds the nesting of a text, so that parsing can't exhaust the stack.
+	maxDepth = 64
+	// maxShownValue bounds the characters of a value in a problem.
+	maxShownValue = 80
+	hiddenValue   = "(hidden)"
+)
+
+// Problem is one thing that is wrong with a text.
+type Problem struct {
+	// Line and Column are counted from 1; the column is in bytes.
+	Line, Column int
+	// Path names the field, such as added.routes[2].name; empty for the whole text.
+	Path string
+	// Value is the value as written, shortened; empty if the field is missing.
+	Value string
+	// Want says what would be right.
+	Want string
+}
+
+func (p Problem) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "line %d, column %d: ", p.Line, p.Column)
+	if p.Path != "" {
+		b.WriteString(p.Path + ": ")
+	}
+	if p.Value != "" {
+		b.WriteString(p.Value + ": ")
+	}
+	b.WriteString(p.Want)
+	return b.String()
+}
+
+// Join writes one problem per line.
+func Join(problems []Problem) string {
+	lines := make([]string, 0, len(problems))
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a decoded text with the positions of its fields.
+type Document struct {
+	text     []byte
+	offsets  map[string]int
+	values   map[string]string
+	secrets  map[string]bool
+	failed   map[string]bool
+	problems []Problem
+	more     int
+}
+
+// Has reports whether the text holds the field.
+func (d *Document) Has(path string) bool {
+	_, ok := d.offsets[path]
+	return ok
+}
+
+// Failed reports whether a problem of the field or of a parent of it was added.
+func (d *Document) Failed(path string) bool {
+	for ; path != ""; path = parent(path) {
+		if d.failed[path] {
+			return true
+		}
+	}
+	return d.failed[""]
+}
+
+// Fail adds a problem of a field, with its value as written.
+func (d *Document) Fail(path, want string) {
+	d.add(d.offset(path), path, d.values[path], want)
+}
+
+// FailInside adds a problem at a byte of a string field, counted from 0. The
+// column is exact only if the string holds no escape sequence before it.
+func (d *Document) FailInside(path string, column int, want string) {
+	d.add(d.offset(path)+len(`"`)+column, path, d.values[path], want)
+}
+
+// Problems returns all problems in the order of the text.
+func (d *Document) Problems() []Problem {
+	problems := append([]Problem(nil), d.problems...)
+	sort.SliceStable(problems, func(i, j int) bool {
+		if problems[i].Line != problems[j].Line {
+			return problems[i].Line < problems[j].Line
+		}
+		return problems[i].Column < problems[j].Column
+	})
+	if d.more > 0 {
+		problems = append(problems, Problem{Line: 1, Column: 1, Want: fmt.Sprintf("%d more problems", d.more)})
+	}
+	return problems
+}
+
+// Position returns line and column of a field, or of the nearest parent that
+// the text holds.
+func (d *Document) Position(path string) (line, column int) {
+	return d.position(d.offset(path))
+}
+
+func (d *Document) offset(path string) int {
+	for path != "" {
+		if offset, ok := d.offsets[path]; ok {
+			return offset
+		}
+		path = parent(path)
+	}
+	return d.offsets[""]
+}
+
+func parent(path string) string {
+	return path[:max(0, strings.LastIndexAny(path, ".["))]
+}
+
+func (d *Document) position(offset int) (line, column int) {
+	before := d.text[:min(offset, len(d.text))]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
+
+// keyLike matches a customer's key, which must not be printed.
+var keyLike = regexp.MustCompile(`ck_[0-9A-Za-z_-]{8,}`)
+
+func (d *Document) add(offset int, path, value, want string) {
+	d.failed[path] = true
+	d.report(offset, path, value, want)
+}
+
+// report adds a problem that does not make the value of the field unusable.
+func (d *Document) report(offset int, path, value, want string) {
+	if len(d.problems) >= maxProblems {
+		d.more++
+		return
+	}
+	if d.hidden(path) || keyLike.MatchString(value) {
+		value = hiddenValue
+	}
+	line, column := d.position(offset)
+	d.problems = append(d.problems, Problem{
+		Line: line, Column: column,
+		Path:  keyLike.ReplaceAllString(path, hiddenValue),
+		Value: shorten(value),
+		Want:  keyLike.ReplaceAllString(want, hiddenValue),
+	})
+}
+
+func (d *Document) hidden(path string) bool {
+	for ; path != ""; path = parent(path) {
+		if d.secrets[path] {
+			return true
+		}
+	}
+	return false
+}
+
+func shorten(value string) string {
+	if len(value) <= maxShownValue {
+		return value
+	}
+	return strings.ToValidUTF8(value[:maxShownValue], "") + "..."
+}
+
+// Index returns the path of an element of a list.
+func Index(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
+
+// Field returns the path of a field of an object.
+func Field(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/settings/secret.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+)
+
+// maxSecretSize bounds a secret, in bytes.
+const maxSecretSize = 4096
+
+// SecretRef names the place of a secret: a file or an environment variable,
+// never both.
+type SecretRef struct {
+	// File is the path of a file that holds the secret. White space around it is
+	// ignored.
+	File string `json:"file"`
+	// Environment is the name of an environment variable.
+	Environment string `json:"environment"`
+}
+
+// IsZero reports whether the reference is unset.
+func (r SecretRef) IsZero() bool { return r == SecretRef{} }
+
+// Secret is a secret that does not print itself.
+type Secret struct{ value string }
+
+// hidden is printed in place of a secret.
+const hidden = "(hidden)"
+
+// String returns a fixed text.
+func (Secret) String() string { return hidden }
+
+// GoString returns a fixed text.
+func (Secret) GoString() string { return hidden }
+
+// MarshalText returns a fixed text.
+func (Secret) MarshalText() ([]byte, error) { return []byte(hidden), nil }
+
+// Reveal returns the secret itself.
+func (s Secret) Reveal() string { return s.value }
+
+// Read returns the secret, or *SecretError. An unset reference gives an empty one.
+func (r SecretRef) Read() (Secret, error) {
+	if r.IsZero() {
+		return Secret{}, nil
+	}
+	if r.Environment != "" {
+		value, ok := os.LookupEnv(r.Environment)
+		if !ok || value == "" {
+			return Secret{}, &SecretError{Ref: r, Reason: "the variable is not set"}
+		}
+		return Secret{value: value}, nil
+	}
+	return r.readFile()
+}
+
+func (r SecretRef) readFile() (Secret, error) {
+	file, err := os.Open(r.File)
+	if err != nil {
+		return Secret{}, &SecretError{Ref: r, Reason: "the file cannot be opened", Cause: err}
+	}
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, maxSecretSize+1))
+	if err != nil {
+		return Secret{}, &SecretError{Ref: r, Reason: "the file cannot be read", Cause: err}
+	}
+	value := bytes.TrimSpace(raw)
+	if len(value) == 0 || len(raw) > maxSecretSize {
+		return Secret{}, &SecretError{Ref: r, Reason: fmt.Sprintf("the file must hold 1 to %d bytes", maxSecretSize)}
+	}
+	return Secret{value: string(value)}, nil
+}
+
+// SecretError reports a secret that could not be read. It never holds the secret.
+type SecretError struct {
+	Ref    SecretRef
+	Reason string
+	Cause  error
+}
+
+func (e *SecretError) Error() string {
+	place := "file " + e.Ref.File
+	if e.Ref.Environment != "" {
+		place = "environment variable " + e.Ref.Environment
+	}
+	if e.Cause != nil {
+		return fmt.Sprintf("secret in %s: %s: %v", place, e.Reason, e.Cause)
+	}
+	return fmt.Sprintf("secret in %s: %s", place, e.Reason)
+}
+
+// Unwrap returns the cause.
+func (e *SecretError) Unwrap() error { return e.Cause }
+
+var environmentName = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_]*$`)
--- /dev/null
+++ b/store/runner.go
@@ -0,0 +1,147 @@
+package store
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// Bounds of a Runner that leaves its options at zero.
+const (
+	DefaultWorkers = 8
+	DefaultQueue   = 256
+)
+
+// InstantSource reads the monotonic clock of the process.
+type InstantSource interface {
+	Now() machine.Now
+}
+
+// RunnerOptions configures a Runner.
+type RunnerOptions struct {
+	// Workers is the number of calls that run at a time; 0 means DefaultWorkers.
+	Workers int
+	// Queue is the number of calls that wait; 0 means DefaultQueue.
+	Queue int
+}
+
+// Runner carries out the store calls of state machines.
+type Runner struct {
+	objects Objects
+	clock   InstantSource
+	jobs    chan job
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers conc.WaitGroup
+}
+
+type job struct {
+	call machine.StoreCall
+	done func(machine.StoreResult)
+}
+
+// NewRunner starts the workers of a runner. Close ends them.
+func NewRunner(objects Objects, clock InstantSource, options RunnerOptions) *Runner {
+	if options.Workers <= 0 {
+		options.Workers = DefaultWorkers
+	}
+	if options.Queue <= 0 {
+		options.Queue = DefaultQueue
+	}
+	r := &Runner{objects: objects, clock: clock, jobs: make(chan job, options.Queue)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	for range options.Workers {
+		r.workers.Go(r.work)
+	}
+	return r
+}
+
+// Submit queues a call and never waits. Exactly one result is given to done,
+// except for calls that are queued when the runner is closed: those get none.
+// If the queue is full, done is called with StoreRefused before Submit returns;
+// otherwise it is called on a worker, so it must be safe for concurrent use and
+// must not wait for the caller of Submit.
+func (r *Runner) Submit(call machine.StoreCall, done func(machine.StoreResult)) {
+	select {
+	case r.jobs <- job{call: call, done: done}:
+	default:
+		done(machine.StoreResult{ID: call.ID, Outcome: machine.StoreRefused, Started: r.clock.Now().Instant})
+	}
+}
+
+// Close stops the workers after the calls that they are carrying out.
+func (r *Runner) Close() {
+	r.cancel()
+	r.workers.Wait()
+}
+
+func (r *Runner) work() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case j := <-r.jobs:
+			j.done(r.carryOut(j.call))
+		}
+	}
+}
+
+func (r *Runner) carryOut(c machine.StoreCall) machine.StoreResult {
+	result := machine.StoreResult{ID: c.ID, Started: r.clock.Now().Instant}
+	var err error
+	switch c.Op {
+	case machine.StoreGet:
+		var o Object
+		o, err = r.objects.Get(r.ctx, c.Key)
+		result.Version, result.Value = o.Version, o.Value
+	case machine.StoreCreate:
+		result.Version, err = r.objects.Create(r.ctx, c.Key, c.Value)
+	case machine.StoreUpdate:
+		result.Version, err = r.objects.Update(r.ctx, c.Key, c.Version, c.Value)
+	case machine.StoreDelete:
+		err = r.objects.Delete(r.ctx, c.Key, c.Version)
+	default:
+		err = &UnavailableError{Cause: &OperationError{Op: c.Op}}
+	}
+	result.Outcome = outcomeOf(err)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		result.Version = conflict.Current
+	}
+	return result
+}
+
+// OperationError reports an operation that does not exist.
+type OperationError struct {
+	Op machine.StoreOp
+}
+
+func (e *OperationError) Error() string {
+	return "store operation of an unknown kind"
+}
+
+// outcomeOf maps an error of Objects. An error of an unknown type counts as a
+// lost answer, which is the safe reading.
+func outcomeOf(err error) machine.StoreOutcome {
+	var (
+		notFound    *NotFoundError
+		conflict    *ConflictError
+		unavailable *UnavailableError
+		tooLarge    *TooLargeError
+	)
+	switch {
+	case err == nil:
+		return machine.StoreOK
+	case errors.As(err, &notFound):
+		return machine.StoreNotFound
+	case errors.As(err, &conflict):
+		return machine.StoreConflict
+	case errors.As(err, &unavailable), errors.As(err, &tooLarge):
+		return machine.StoreRefused
+	default:
+		return machine.StoreUnknown
+	}
+}
