Wire the modules into a running entry host

Cause: the whole path has to run as separate processes before the parts are deepened. At-most-once routes are refused until package operations is wired.

--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,282 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gateway"
+	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/operator"
+	"github.com/catkinspring/catkinspring/peer"
+	"github.com/catkinspring/catkinspring/placement"
+	"github.com/catkinspring/catkinspring/settings"
+	"github.com/catkinspring/catkinspring/store"
+	"github.com/catkinspring/catkinspring/timeline"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// pumpInterval is the time between two looks at queues whose upstreams may have
+// got room because estimates aged.
+const pumpInterval = 20 * time.Millisecond
+
+// Options holds what the process passes to a Host.
+type Options struct {
+	Settings *settings.Settings
+	Version  string
+	Logger   zerolog.Logger
+}
+
+// Host is one incarnation of an entry host.
+type Host struct {
+	settings *settings.Settings
+	version  string
+	log      zerolog.Logger
+	self     fleet.Member
+	location fleet.Location
+	clock    *Clock
+	state    state
+	registry metrics.Registry
+	ring     *timeline.Ring
+
+	listeners listeners
+	objects   *store.HTTP
+	runner    *store.Runner
+	transport *peer.Transport
+	loop      *loop
+	modules   moduleIDs
+
+	limits     *limits.Table
+	placement  *placement.Table
+	quarantine *dispatch.Table
+	dispatcher *dispatch.Dispatcher
+	gateway    *gateway.Gateway
+	operators  *operator.Server
+	notes      noteCalls
+	active     activeRequests
+
+	retired  chan struct{}
+	left     chan struct{}
+	finished bool
+}
+
+// RetiredError reports that this incarnation was retired by the cell, for
+// instance after a long pause. The process starts a new incarnation.
+type RetiredError struct {
+	Member fleet.Member
+}
+
+func (e *RetiredError) Error() string {
+	return fmt.Sprintf("incarnation %s was retired by its cell", e.Member)
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Purpose string
+	Address netip.AddrPort
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listening for %s on %s: %v", e.Purpose, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+}
+
+// New binds all listeners and wires the modules. It returns a *ListenError, a
+// *settings.SecretError or an error of package peer.
+func New(o Options) (*Host, error) {
+	s := o.Settings
+	h := &Host{
+		settings: s,
+		version:  o.Version,
+		self:     fleet.Member{Host: s.Host.ID, Incarnation: newIncarnation()},
+		location: fleet.Location{Region: s.Host.Region, FailureDomain: s.Host.FailureDomain},
+		clock:    NewClock(),
+		registry: metrics.NewRegistry(),
+		retired:  make(chan struct{}),
+		left:     make(chan struct{}),
+	}
+	h.log = o.Logger.With().Str("host", string(s.Host.ID)).Str("incarnation", h.self.Incarnation.String()[:8]).Logger()
+	h.ring = timeline.NewRing(s.Host.ID, &timeline.Clock{}, s.Timeline.Entries, keys.Redact)
+	h.notes.init()
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	if err := h.wire(); err != nil {
+		h.closeListeners()
+		return nil, err
+	}
+	return h, nil
+}
+
+func newIncarnation() fleet.Incarnation {
+	var i fleet.Incarnation
+	// crypto/rand.Read never returns an error; it ends the process instead.
+	_, _ = rand.Read(i[:])
+	return i
+}
+
+func (h *Host) listen() error {
+	callers, err := net.Listen("tcp", h.settings.Listen.Callers.String())
+	if err != nil {
+		return &ListenError{Purpose: "callers", Address: h.settings.Listen.Callers, Cause: err}
+	}
+	operators, err := net.Listen("tcp", h.settings.Listen.Operators.String())
+	if err != nil {
+		_ = callers.Close()
+		return &ListenError{Purpose: "operators", Address: h.settings.Listen.Operators, Cause: err}
+	}
+	h.listeners = listeners{callers: callers, operators: operators}
+	return nil
+}
+
+func (h *Host) closeListeners() {
+	_ = h.listeners.callers.Close()
+	_ = h.listeners.operators.Close()
+}
+
+// wire builds the modules from the outside in: store, tables, machines,
+// transport, servers.
+func (h *Host) wire() error {
+	token, err := h.settings.Platform.Token.Read()
+	if err != nil {
+		return err
+	}
+	credential, err := h.settings.Operators.Credential.Read()
+	if err != nil {
+		return err
+	}
+	if err := h.openStore(token); err != nil {
+		return err
+	}
+	h.loop = newLoop(h.clock, effects{send: h.send, call: h.callStore, record: h.record}, h.registry)
+	h.buildTables()
+	h.addModules()
+	if err := h.openTransport(); err != nil {
+		h.runner.Close()
+		return err
+	}
+	h.buildServers(credential.Reveal())
+	return nil
+}
+
+func (h *Host) buildTables() {
+	h.limits = limits.NewTable(h.clock, func(in machine.Input) { h.loop.post(h.modules.limits, in) })
+	h.placement = placement.NewTable(placement.Config{
+		Location:            h.location,
+		Clock:               h.clock,
+		Delay:               func(r fleet.Region) time.Duration { return h.delay(h.location.Region, r) },
+		Random:              mathrand.Uint64,
+		MaxQueuePerCustomer: h.settings.Requests.QueuePerCustomer,
+		MaxQueue:            h.settings.Requests.QueuePerHost,
+		Post:                func(in machine.Input) bool { return h.loop.post(h.modules.placement, in) },
+		Registry:            h.registry,
+	})
+	h.dispatcher = dispatch.New(dispatch.Config{
+		Placer:   h.placement,
+		Clock:    h.clock,
+		Table:    h.quarantine,
+		Registry: h.registry,
+	})
+}
+
+func (h *Host) delay(from, to fleet.Region) time.Duration {
+	delay, _ := h.settings.Delays.Between(from, to)
+	return delay
+}
+
+func (h *Host) buildServers(credential string) {
+	h.gateway = gateway.New(gateway.Config{
+		Snapshot:       h.state.snapshot.Load,
+		View:           h.state.view.Load,
+		Regions:        h.state.regions.Load,
+		Answers:        lookup.NewBuilder(h.settings.Delays.Between, h.settings.Lookup.MaxAge),
+		Lease:          &h.state,
+		Clock:          h.clock,
+		Limiter:        h.limits,
+		Claimer:        h.claimer(),
+		Dispatcher:     h.active.count(h.dispatcher),
+		Quarantined:    h.quarantine.Quarantined,
+		KeySuspended:   h.state.keySuspended,
+		Draining:       h.state.draining.Load,
+		MaxConnections: h.settings.Requests.Connections,
+		Registry:       h.registry,
+		Logger:         h.log,
+	})
+	h.operators = operator.New(operator.Config{
+		Credential: credential,
+		Ready:      h.ready,
+		Apply:      h.applyNote,
+		Status:     h.status,
+		Events:     h.ring.Select,
+		Metrics:    h.metrics,
+	})
+}
+
+func (h *Host) claimer() traffic.Claimer { return unclaimable{} }
+
+// Run serves until the incarnation has left its cell, is retired, or stop is
+// cancelled. Cancelling drain starts a planned stop.
+func (h *Host) Run(stop, drain context.Context) error {
+	ctx, cancel := context.WithCancel(stop)
+	var group conc.WaitGroup
+	group.Go(func() { h.loop.run(ctx) })
+	group.Go(func() { h.dispatcher.Run(ctx) })
+	group.Go(func() { h.pollHosts(ctx) })
+	group.Go(func() { h.watchHead(ctx) })
+	group.Go(func() { h.pump(ctx) })
+	group.Go(func() { h.serve("callers", h.gateway.Serve, h.listeners.callers) })
+	group.Go(func() { h.serve("operators", h.operators.Serve, h.listeners.operators) })
+	h.log.Info().Str("callers", h.listeners.callers.Addr().String()).
+		Str("operators", h.listeners.operators.Addr().String()).Msg("entry host started")
+
+	err := h.waitForEnd(stop, drain)
+	h.shutdown(stop)
+	cancel()
+	h.runner.Close()
+	_ = h.transport.Close()
+	group.Wait()
+	h.log.Info().Msg("entry host stopped")
+	return err
+}
+
+func (h *Host) serve(name string, serve func(net.Listener) error, l net.Listener) {
+	if err := serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+		h.log.Error().Err(eris.Wrapf(err, "serving %s", name)).Msg("listener failed")
+	}
+}
+
+func (h *Host) pump(ctx context.Context) {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.placement.Pump()
+		}
+	}
+}
--- a/host/loop.go
+++ b/host/loop.go
@@ -107,11 +107,17 @@
 	l.local = append(l.local, item{module: id, input: in})
 }
 
-// forwardAll queues an input for every module but one.
-func (l *loop) forwardAll(except moduleID, in machine.Input) {
+// stepNow applies an input to a module at once, with its outputs. It must be
+// called only from output handlers, and not for the module whose output it is.
+func (l *loop) stepNow(id moduleID, in machine.Input) {
+	l.step(item{module: id, input: in})
+}
+
+// stepOthers applies an input at once to every module but one.
+func (l *loop) stepOthers(except moduleID, in machine.Input) {
 	for id := range l.modules {
 		if moduleID(id) != except {
-			l.forward(moduleID(id), in)
+			l.stepNow(moduleID(id), in)
 		}
 	}
 }
--- /dev/null
+++ b/host/modules.go
@@ -0,0 +1,171 @@
+package host
+
+import (
+	mathrand "math/rand/v2"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/membership"
+	"github.com/catkinspring/catkinspring/placement"
+)
+
+// moduleIDs are the places of the modules in the loop.
+type moduleIDs struct {
+	membership    moduleID
+	configuration moduleID
+	limits        moduleID
+	placement     moduleID
+}
+
+func (h *Host) addModules() {
+	h.modules.membership = h.loop.add(module{
+		name: "membership",
+		machine: membership.New(membership.Options{
+			Self:          h.self,
+			Location:      h.location,
+			PeerAddress:   h.settings.Advertise.Peers,
+			CallerAddress: h.settings.Advertise.Callers,
+			Cell:          h.settings.Host.Cell,
+			LeaseDuration: h.settings.Lease.Duration,
+			LeaveDelay:    h.settings.Lookup.MaxAge,
+			Rand:          mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+		}),
+		output: h.membershipOutput,
+	}, membership.Messages())
+	h.modules.configuration = h.loop.add(module{
+		name:    "configuration",
+		machine: configuration.New(h.self),
+		output:  h.configurationOutput,
+	}, configuration.Messages())
+	h.modules.limits = h.loop.add(module{
+		name:    "limits",
+		machine: limits.NewMachine(h.limits),
+		output:  ignoreOutput,
+	}, limits.Messages())
+	h.modules.placement = h.loop.add(module{
+		name:    "placement",
+		machine: placement.NewMachine(h.self.Host, h.location.Region),
+		output:  h.placementOutput,
+	}, placement.Messages())
+}
+
+func ignoreOutput(machine.Now, machine.Output) {}
+
+// messageTypes returns the messages of all modules for the peer codec.
+func messageTypes() []machine.MessageType {
+	var types []machine.MessageType
+	types = append(types, membership.Messages()...)
+	types = append(types, configuration.Messages()...)
+	types = append(types, limits.Messages()...)
+	return append(types, placement.Messages()...)
+}
+
+// membershipOutput carries out the outputs of the membership. A view and a lease
+// are applied by all modules before the outputs that follow, because those may
+// tell peers that the view is in force.
+func (h *Host) membershipOutput(now machine.Now, out machine.Output) {
+	switch out := out.(type) {
+	case membership.ViewPublished:
+		h.state.view.Store(out.View)
+		h.applyShiftCaps()
+		h.loop.stepOthers(h.modules.membership, machine.ViewChanged{View: out.View})
+	case membership.LeaseRenewed:
+		h.changeLease(now, out.ValidUntil)
+		h.loop.stepOthers(h.modules.membership, machine.LeaseChanged{ValidUntil: out.ValidUntil})
+	case membership.RevisionSeen:
+		for _, holder := range out.Holders {
+			h.loop.forward(h.modules.configuration, configuration.PeerRevision{Revision: out.Revision, Host: holder})
+		}
+	case membership.ContactsChanged:
+		h.transport.SetPeers(out.Peers)
+	case membership.Retired:
+		h.log.Warn().Msg("incarnation was retired by its cell")
+		h.endOnce(h.retired)
+	case membership.Left:
+		h.endOnce(h.left)
+	}
+}
+
+func (h *Host) endOnce(ended chan struct{}) {
+	if !h.finished {
+		h.finished = true
+		close(ended)
+	}
+}
+
+// changeLease logs when the lease begins, and when it is renewed after its end.
+func (h *Host) changeLease(now machine.Now, until machine.Instant) {
+	before := machine.Instant(h.state.lease.Swap(int64(until)))
+	if before < now.Instant && until > now.Instant {
+		h.log.Info().Msg("lease is valid")
+		h.record(now, machine.Event{Kind: "lease.valid", Text: "lease is valid"})
+	}
+}
+
+func (h *Host) configurationOutput(now machine.Now, out machine.Output) {
+	switch out := out.(type) {
+	case configuration.Published:
+		h.publish(now, out)
+	case configuration.NoteResult:
+		h.notes.finish(out)
+	}
+}
+
+// publish puts a revision in force on this host.
+func (h *Host) publish(now machine.Now, p configuration.Published) {
+	h.state.suspended.Store(&p.Suspended)
+	if p.Snapshot == nil || p.Snapshot.Revision == h.state.revision() {
+		return
+	}
+	h.state.regions.Store(lookup.NewTable(p.Snapshot.Blocks))
+	h.state.snapshot.Store(p.Snapshot)
+	h.applyShiftCaps()
+	h.loop.stepNow(h.modules.limits, customerLimits(p.Snapshot))
+	h.loop.forward(h.modules.membership, membership.SetRevision{Revision: p.Snapshot.Revision})
+	h.log.Info().Uint64("revision", uint64(p.Snapshot.Revision)).Msg("configuration is in force")
+	h.record(now, machine.Event{Kind: "configuration.in-force", Subject: revisionText(p.Snapshot.Revision), Text: "revision is in force on this host"})
+}
+
+func customerLimits(s *configuration.Snapshot) limits.SetCustomers {
+	list := make([]limits.CustomerLimit, 0, len(s.Customers))
+	for i := range s.Customers {
+		c := &s.Customers[i]
+		list = append(list, limits.CustomerLimit{ID: c.ID, Rate: c.Rate, Burst: c.Burst})
+	}
+	return limits.SetCustomers{Revision: s.Revision, Customers: list}
+}
+
+// applyShiftCaps gives this host its part of each route's shift caps.
+func (h *Host) applyShiftCaps() {
+	snapshot, view := h.state.snapshot.Load(), h.state.view.Load()
+	if snapshot == nil || view == nil {
+		return
+	}
+	caps := make(map[fleet.Route]placement.ShiftCap, len(snapshot.Routes))
+	for i := range snapshot.Routes {
+		r := &snapshot.Routes[i]
+		caps[r.Name] = placement.ShiftCap{Mbit: r.ShiftCapMbit, SharePerSecond: r.ShiftSharePerSecond}
+	}
+	weight := 0.0
+	if self := view.Find(h.self.Host); self != nil {
+		weight = float64(self.Weight) / fleet.TotalWeight
+	}
+	h.placement.SetShiftCaps(caps, weight)
+}
+
+func (h *Host) placementOutput(_ machine.Now, out machine.Output) {
+	switch out := out.(type) {
+	case placement.UpstreamsChanged:
+		h.placement.SetUpstreams(out.Upstreams)
+	case placement.EstimatesChanged:
+		h.placement.SetEstimates(out.Estimates)
+		h.placement.SetRemoteLimits(out.Limits)
+		h.loop.forward(h.modules.placement, placement.WorkMeasured{Work: h.placement.InFlight()})
+		h.loop.forward(h.modules.membership, membership.SetLoad{Load: h.active.load()})
+	case placement.Probe:
+		h.startProbe(out)
+	}
+}
--- /dev/null
+++ b/host/outside.go
@@ -0,0 +1,269 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/membership"
+	"github.com/catkinspring/catkinspring/peer"
+	"github.com/catkinspring/catkinspring/placement"
+	"github.com/catkinspring/catkinspring/settings"
+	"github.com/catkinspring/catkinspring/store"
+)
+
+const (
+	// hostListInterval is the time between two reads of the platform's host list.
+	hostListInterval = time.Second
+	// watchRetryInterval is the time after which a failed watch is repeated.
+	watchRetryInterval = time.Second
+	headKind           = "configuration"
+	headName           = "head"
+	rosterKind         = "roster"
+	// maxHealthBytes bounds the answer of an upstream's health endpoint.
+	maxHealthBytes = 16 << 10
+)
+
+// CAError reports a CA file without a certificate.
+type CAError struct {
+	File string
+}
+
+func (e *CAError) Error() string { return "file " + e.File + " holds no PEM certificate" }
+
+func (h *Host) openStore(token settings.Secret) error {
+	p := h.settings.Platform
+	options := store.HTTPOptions{
+		Address:        p.Address.String(),
+		Host:           h.self.Host,
+		Token:          token.Reveal(),
+		Timeout:        p.Timeout,
+		ConnectTimeout: p.ConnectTimeout,
+		Metrics:        store.NewMetrics(h.registry),
+	}
+	if p.CA != "" {
+		pool, err := loadCA(p.CA)
+		if err != nil {
+			return err
+		}
+		options.TLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	}
+	h.objects = store.NewHTTP(options)
+	h.runner = store.NewRunner(h.objects, h.clock, store.RunnerOptions{})
+	return nil
+}
+
+func loadCA(file string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "platform CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, &CAError{File: file}
+	}
+	return pool, nil
+}
+
+func (h *Host) openTransport() error {
+	transport, err := peer.Listen(peer.Config{
+		Self:    h.self,
+		Cell:    h.settings.Host.Cell,
+		Listen:  h.settings.Listen.Peers,
+		Files:   peer.Files{CA: h.settings.FleetTLS.CA, Certificate: h.settings.FleetTLS.Certificate, Key: h.settings.FleetTLS.Key},
+		Types:   messageTypes(),
+		Receive: h.loop.receive,
+		Metrics: h.registry,
+	})
+	if err != nil {
+		return err
+	}
+	h.transport = transport
+	return nil
+}
+
+// send hands a message to the transport. A host that is not known yet, or not
+// any more, gets nothing; the modules repeat what has to arrive.
+func (h *Host) send(to fleet.HostID, m machine.Message) {
+	_ = h.transport.Send(to, m)
+}
+
+// callStore carries out a store call. A lease may rest on a read of the roster;
+// the head of the configuration is read after it was sent and before its result
+// is delivered, so that such a host knows every accepted note.
+func (h *Host) callStore(call machine.StoreCall, done func(machine.StoreResult)) {
+	watched := func(result machine.StoreResult) {
+		h.noteStore(result.Outcome)
+		done(result)
+	}
+	if call.Op != machine.StoreGet || call.Key.Kind != rosterKind {
+		h.runner.Submit(call, watched)
+		return
+	}
+	h.runner.Submit(call, func(roster machine.StoreResult) {
+		head := machine.StoreCall{Op: machine.StoreGet, Key: machine.StoreKey{Kind: headKind, Name: headName}}
+		h.runner.Submit(head, func(result machine.StoreResult) {
+			if !headKnown(result.Outcome) || !h.deliverHead(result) {
+				roster.Outcome = machine.StoreUnknown
+			}
+			watched(roster)
+		})
+	})
+}
+
+func headKnown(outcome machine.StoreOutcome) bool {
+	return outcome == machine.StoreOK || outcome == machine.StoreNotFound
+}
+
+// noteStore logs when the store becomes reachable or unreachable.
+func (h *Host) noteStore(outcome machine.StoreOutcome) {
+	ok := outcome != machine.StoreRefused && outcome != machine.StoreUnknown
+	if h.state.storeOK.Swap(ok) == ok {
+		return
+	}
+	kind, text := "store.reachable", "object store is reachable"
+	if !ok {
+		kind, text = "store.unreachable", "object store is not reachable"
+	}
+	h.log.Warn().Msg(text)
+	h.record(h.clock.Now(), machine.Event{Kind: kind, Text: text})
+}
+
+func (h *Host) record(now machine.Now, e machine.Event) {
+	h.ring.Record(now.WallMillis, e)
+}
+
+// pollHosts reads the platform's host list. The list lags; the modules take it
+// as a hint.
+func (h *Host) pollHosts(ctx context.Context) {
+	ticker := time.NewTicker(hostListInterval)
+	defer ticker.Stop()
+	for {
+		list, err := h.objects.ListHosts(ctx)
+		if err == nil {
+			h.adoptHosts(list)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Host) adoptHosts(list store.HostList) {
+	var entries []membership.PlatformHost
+	var upstreams []placement.ListedUpstream
+	for _, l := range list.Hosts {
+		switch l.Role {
+		case store.RoleEntry:
+			entries = append(entries, membership.PlatformHost{
+				Host:        fleet.HostID(l.Name),
+				PeerAddress: l.PeerAddress,
+				Live:        l.State == store.HostLive,
+			})
+		case store.RoleUpstream:
+			upstreams = append(upstreams, listedUpstream(l))
+		}
+	}
+	h.loop.post(h.modules.membership, membership.PlatformHosts{Hosts: entries})
+	h.loop.post(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
+}
+
+func listedUpstream(l store.ListedHost) placement.ListedUpstream {
+	return placement.ListedUpstream{
+		Name:     fleet.Upstream(l.Name),
+		Pool:     l.Pool,
+		Address:  l.Address,
+		Location: fleet.Location{Region: l.Region, FailureDomain: l.FailureDomain},
+		Slots:    l.Slots,
+		Leaving:  l.State == store.HostLeaving,
+	}
+}
+
+// watchHead keeps a watch on the configuration while this host is the one of its
+// region that does.
+func (h *Host) watchHead(ctx context.Context) {
+	var since uint64
+	for ctx.Err() == nil {
+		if !h.state.watches(h.self.Host, h.location.Region) {
+			pause(ctx, watchRetryInterval)
+			continue
+		}
+		changes, err := h.objects.Watch(ctx, headKind, since, h.settings.Platform.WatchTimeout)
+		if err != nil {
+			since = 0
+			pause(ctx, watchRetryInterval)
+			continue
+		}
+		if len(changes.Changes) > 0 {
+			h.loop.post(h.modules.configuration, headChanged)
+		}
+		since = changes.Version
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// upstreamHealth is the answer of an upstream's health endpoint.
+type upstreamHealth struct {
+	Load     float64 `json:"load"`
+	Draining bool    `json:"draining"`
+}
+
+// startProbe asks an upstream for its health without holding up the loop. The
+// number of probes at a time is bounded by the upstreams that fall to this host.
+func (h *Host) startProbe(p placement.Probe) {
+	sent := h.clock.Now().Instant
+	go func() {
+		health, err := probe(p.Address, p.Timeout)
+		h.loop.post(h.modules.placement, placement.ProbeDone{
+			Upstream: p.Upstream,
+			Sent:     sent,
+			InFlight: health.Load,
+			Draining: health.Draining,
+			Failed:   err != nil,
+		})
+	}()
+}
+
+func probe(address netip.AddrPort, timeout time.Duration) (upstreamHealth, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address.String() + "/health")
+	request.SetConnectionClose()
+	var health upstreamHealth
+	client := fasthttp.HostClient{
+		Addr:                      address.String(),
+		MaxIdemponentCallAttempts: 1,
+		ReadTimeout:               timeout,
+		WriteTimeout:              timeout,
+		MaxResponseBodySize:       maxHealthBytes,
+	}
+	if err := client.Do(request, response); err != nil {
+		return health, err
+	}
+	return health, json.Unmarshal(response.Body(), &health)
+}
+
+func revisionText(r fleet.Revision) string {
+	return strconv.FormatUint(uint64(r), 10)
+}
--- /dev/null
+++ b/host/state.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"sync/atomic"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// state holds what the control loop publishes to traffic goroutines.
+type state struct {
+	lease     atomic.Int64
+	view      atomic.Pointer[fleet.View]
+	snapshot  atomic.Pointer[configuration.Snapshot]
+	suspended atomic.Pointer[configuration.KeySet]
+	regions   atomic.Pointer[lookup.Table]
+	draining  atomic.Bool
+	storeOK   atomic.Bool
+}
+
+// ValidUntil returns the end of the host's lease.
+func (s *state) ValidUntil() machine.Instant {
+	return machine.Instant(s.lease.Load())
+}
+
+func (s *state) keySuspended(id string) bool {
+	set := s.suspended.Load()
+	return set != nil && set.Has(id)
+}
+
+func (s *state) revision() fleet.Revision {
+	if snapshot := s.snapshot.Load(); snapshot != nil {
+		return snapshot.Revision
+	}
+	return 0
+}
+
+// watches reports whether this host keeps the watch of its region: the reachable
+// active member with the lowest id does, so that the number of watches grows
+// with the regions and not with the hosts.
+func (s *state) watches(self fleet.HostID, region fleet.Region) bool {
+	view := s.view.Load()
+	if view == nil {
+		return true
+	}
+	for i := range view.Members {
+		m := &view.Members[i]
+		if m.Region == region && m.State == fleet.StateActive && (m.Reachable || m.Host == self) {
+			return m.Host == self
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/host/status.go
@@ -0,0 +1,65 @@
+package host
+
+import (
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/operator"
+)
+
+// headChanged tells the configuration to read the head.
+var headChanged = configuration.HeadChanged{}
+
+func (h *Host) deliverHead(result machine.StoreResult) bool {
+	return h.loop.post(h.modules.configuration, configuration.HeadRead{Result: result})
+}
+
+// NotReadyError says why a host does not serve yet.
+type NotReadyError struct {
+	Reason string
+}
+
+func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
+
+func (h *Host) ready() error {
+	switch {
+	case h.state.draining.Load():
+		return &NotReadyError{Reason: "host is stopping"}
+	case h.state.view.Load() == nil:
+		return &NotReadyError{Reason: "no roster yet"}
+	case h.clock.Now().Instant >= h.state.ValidUntil():
+		return &NotReadyError{Reason: "no valid lease"}
+	case h.state.snapshot.Load() == nil:
+		return &NotReadyError{Reason: "no configuration yet"}
+	}
+	return nil
+}
+
+func (h *Host) status() operator.Status {
+	s := operator.Status{
+		Host:        h.self.Host,
+		Incarnation: h.self.Incarnation,
+		Location:    h.location,
+		Version:     h.version,
+		Draining:    h.state.draining.Load(),
+		LeaseMillis: max(0, h.state.ValidUntil().Sub(h.clock.Now().Instant).Milliseconds()),
+		Revision:    h.state.revision(),
+		StoreOK:     h.state.storeOK.Load(),
+	}
+	if err := h.ready(); err != nil {
+		s.NotReady = err.Error()
+	} else {
+		s.Ready = true
+	}
+	if view := h.state.view.Load(); view != nil {
+		s.RosterVersion = view.Version
+		s.Members = view.Members
+		for i := range view.Partitions {
+			if view.Owns(i) {
+				s.Partitions++
+			}
+		}
+	}
+	return s
+}
+
+func (h *Host) metrics() []byte { return nil }
