--- /dev/null
+++ b/dispatch/dispatcher_test.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+const (
+	atMostOnce = configuration.SemanticsAtMostOnce
+	idempotent = configuration.SemanticsIdempotent
+)
+
+var allFaults = []fault{
+	faultNone, faultClose, faultReset, faultStall, faultLate, faultTwice, faultShort, faultChunk, faultCrossed,
+	faultNoID, faultBothFrame, faultTwoLength, faultFold, faultEndless, faultTooLarge, faultShed,
+}
+
+// Guards against duplicates, foreign or cut answers, and reuse of a connection
+// whose state is unknown, for each fault after the request ran.
+func TestFaultAfterRun(t *testing.T) {
+	for _, semantics := range []configuration.Semantics{atMostOnce, idempotent} {
+		for _, f := range allFaults {
+			t.Run(fmt.Sprintf("%s/%s", semantics, f), func(t *testing.T) {
+				var once sync.Once
+				u := newAdversary(t, "u1", func(string) fault {
+					chosen := faultNone
+					once.Do(func() { chosen = f })
+					return chosen
+				})
+				spare := newAdversary(t, "u2", func(string) fault { return faultNone })
+				b := newBench(u, spare)
+				response, err := b.run(newRequest("first", semantics, 200*time.Millisecond))
+				check(t, "first", response, err, semantics, u, spare)
+				if semantics == idempotent || slices.Contains(harmless, f) || f == faultShed {
+					require.NoError(t, err)
+				} else {
+					var refused *problem.Error
+					require.ErrorAs(t, err, &refused)
+					require.Equal(t, problem.OutcomeUnknown, refused.Outcome)
+				}
+				close(u.release)
+				for i := range 3 {
+					marker := fmt.Sprint("next", i)
+					response, err = b.run(newRequest(marker, semantics, 5*time.Second))
+					require.NoError(t, err)
+					check(t, marker, response, err, semantics, u, spare)
+				}
+				u.checkConnections(t)
+				require.Zero(t, b.placer.held, "a slot was not released")
+			})
+		}
+	}
+}
+
+// Guards against rare orders of faults on shared connections.
+func TestRandomFaultsUnderLoad(t *testing.T) {
+	const seed, workers, requests = 20261204, 8, 40
+	t.Logf("seed %d", seed)
+	// A late answer needs a test that holds it back.
+	faults := slices.DeleteFunc(slices.Clone(allFaults), func(f fault) bool { return f == faultLate })
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 0))
+	script := func(string) fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.IntN(4) > 0 {
+			return faultNone
+		}
+		return faults[random.IntN(len(faults))]
+	}
+	u1, u2 := newAdversary(t, "u1", script), newAdversary(t, "u2", script)
+	b := newBench(u1, u2)
+	var wait sync.WaitGroup
+	results := make(chan func(), workers*requests)
+	for worker := range workers {
+		wait.Go(func() {
+			for i := range requests {
+				marker := fmt.Sprintf("%d-%d", worker, i)
+				semantics := []configuration.Semantics{atMostOnce, idempotent}[i%2]
+				response, err := b.run(newRequest(marker, semantics, 100*time.Millisecond))
+				results <- func() { check(t, marker, response, err, semantics, u1, u2) }
+			}
+		})
+	}
+	wait.Wait()
+	close(results)
+	for verify := range results {
+		verify()
+	}
+	u1.checkConnections(t)
+	u2.checkConnections(t)
+	require.Zero(t, b.placer.held)
+}
+
+// Guards against an upstream that learns a caller's key, or is confused about
+// where a request ends.
+func TestNeverForwarded(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultNone })
+	b := newBench(u)
+	r := newRequest("m", atMostOnce, 5*time.Second)
+	key := r.Key.Reveal()
+	percent := strings.ReplaceAll(key, "_", "%5f")
+	h := &r.Message.Header
+	for name, value := range map[string]string{
+		"Authorization": "Bearer " + key, "Proxy-Authorization": key, "X-Copy": "a " + key, "X-Percent": percent,
+		"X-Double": strings.ReplaceAll(percent, "%", "%25"), "X-" + r.Key.Secret(): "name", "Cookie": "a=b; k=" + key,
+		"X-Other-Key": keys.Generate().Reveal(), "Connection": "X-Hop, close", "X-Hop": "hop", "Te": "trailers",
+		"Keep-Alive": "timeout=1", "Upgrade": "h2c", "Expect": "100-continue", "X-Request-Deadline": "1",
+		"X-Request-Timeout": "1", "X-Not-Run": "true", "Transfer-Encoding": "chunked",
+	} {
+		h.Add(name, value)
+	}
+	require.NoError(t, h.SetTrailer("X-Trailer"))
+	h.Set("X-Kept", "kept")
+	r.Target = []byte("/r/x?a=1&k=" + key + "&" + percent + "=2&b=3")
+	_, err := b.run(r)
+	require.NoError(t, err)
+	seen := u.transcript()
+	require.NotContains(t, strings.ToLower(seen), strings.ToLower(r.Key.Secret()))
+	require.NotContains(t, seen, "ck_")
+	for _, name := range []string{"Authorization", "X-Hop", "Te:", "Keep-Alive", "Upgrade", "Expect", "X-Request-Timeout",
+		"X-Not-Run", "Transfer-Encoding", "Trailer", "Deadline: 1\r"} {
+		require.NotContains(t, seen, name)
+	}
+	require.Contains(t, seen, "POST /r/x?a=1&b=3 HTTP/1.1\r\n")
+	require.Contains(t, seen, "X-Kept: kept\r\n")
+	require.Equal(t, 1, strings.Count(seen, "Content-Length:"))
+}
+
+// Guards against a request that is written although a check failed at the last
+// moment, and against losing the connection that was chosen for it.
+func TestLastCheckRefuses(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultNone })
+	b := newBench(u)
+	_, err := b.run(newRequest("a", atMostOnce, 5*time.Second))
+	require.NoError(t, err)
+	r := newRequest("b", atMostOnce, 5*time.Second)
+	r.LastCheck = func() error { return problem.NotRun(problem.KindKeyInvalid, "withdrawn") }
+	_, err = b.run(r)
+	var refused *problem.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, problem.KindKeyInvalid, refused.Kind)
+	require.False(t, r.Written())
+	require.Zero(t, u.ran("b"))
+	_, err = b.run(newRequest("c", atMostOnce, 5*time.Second))
+	require.NoError(t, err)
+	require.Equal(t, 1, u.connections())
+}
+
+// Guards against a "not run" that is said although an earlier attempt was
+// written, when the check before a retry fails.
+func TestRefusalAfterUnknownAttempt(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultClose })
+	b := newBench(u)
+	r := newRequest("a", idempotent, 5*time.Second)
+	checks := 0
+	r.LastCheck = func() error {
+		if checks++; checks > 1 {
+			return problem.NotRun(problem.KindKeyInvalid, "withdrawn")
+		}
+		return nil
+	}
+	_, err := b.run(r)
+	var refused *problem.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, problem.KindKeyInvalid, refused.Kind)
+	require.Equal(t, problem.OutcomeUnknown, refused.Outcome)
+}
+
+// Guards against at-most-once requests that fail although nothing was written.
+func TestConnectFailureIsRetried(t *testing.T) {
+	u := newAdversary(t, "u2", func(string) fault { return faultNone })
+	b := newBench(u)
+	b.placer.targets = append([]traffic.Target{{Name: "u1", Address: refusedAddress(t)}}, b.placer.targets...)
+	response, err := b.run(newRequest("a", atMostOnce, 5*time.Second))
+	require.NoError(t, err)
+	check(t, "a", response, err, atMostOnce, u)
+	require.Equal(t, []traffic.Result{traffic.ResultConnectFailed, traffic.ResultAnswered}, b.placer.reports)
+}
+
+// Guards against blaming an upstream for a connection that a middlebox forgot,
+// and against using its other old connections.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var once sync.Once
+	u := newAdversary(t, "u1", func(marker string) (chosen fault) {
+		if marker == "b" {
+			once.Do(func() { chosen = faultStall })
+		}
+		return chosen
+	})
+	b := newBench(u)
+	_, err := b.run(newRequest("a", idempotent, 5*time.Second))
+	require.NoError(t, err)
+	_, err = b.run(newRequest("b", idempotent, 400*time.Millisecond))
+	require.NoError(t, err)
+	require.Equal(t, []traffic.Result{traffic.ResultAnswered, traffic.ResultConnectionFault, traffic.ResultAnswered}, b.placer.reports)
+	require.EqualValues(t, 1, b.metrics.silent.Count())
+	u.checkConnections(t)
+}
+
+// Guards against retries that multiply the load of failing upstreams.
+func TestRetryBudget(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultShed })
+	u2 := newAdversary(t, "u2", func(string) fault { return faultShed })
+	b := newBench(u, u2)
+	const requests = 200
+	for i := range requests {
+		_, err := b.run(newRequest(fmt.Sprint(i), idempotent, 5*time.Second))
+		var refused *problem.Error
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, problem.KindNoCapacity, refused.Kind)
+		require.Equal(t, problem.OutcomeNotRun, refused.Outcome)
+		require.Positive(t, refused.RetryAfter)
+	}
+	require.LessOrEqual(t, b.metrics.retries.Count(), int64(requests/10+retryStart/retryCost))
+}
+
+// Guards against an upstream that works on a request after the host lost the
+// right to run it.
+func TestDeadlineNeverLaterThanLease(t *testing.T) {
+	b := newBench()
+	r := newRequest("a", atMostOnce, time.Hour)
+	r.Lease = testClock{lease: 2_500_000_000}
+	require.EqualValues(t, 1_002_500, b.upstreamDeadline(r))
+	r.Deadline = time.Now().Add(time.Second)
+	require.LessOrEqual(t, b.upstreamDeadline(r), int64(1_001_000))
+}
+
+// Guards against a crash that is not attributed, or is blamed on the upstream.
+func TestCrashIsSuspected(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultCrash })
+	b := newBench(u)
+	r := newRequest("a", idempotent, 5*time.Second)
+	_, err := b.run(r)
+	require.Error(t, err)
+	require.Equal(t, []traffic.Result{traffic.ResultCrashSuspected}, b.placer.reports)
+	require.Equal(t, Suspected{Upstream: "u1", Fingerprints: []uint64{r.Fingerprint}, Alone: true}, <-b.inputs)
+}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -225,12 +225,14 @@
 		e.d.metrics.silent.Inc(1)
 		e.d.pool.distrust(e.target.Address)
 	}
-	if e.mayRetry && quiet(c.Conn) && e.d.budget.spend() {
-		return &FirstByteTimeoutError{Silent: e.silent}
-	}
+	// A read past its deadline fails without looking, so the deadline is moved
+	// before the connection is asked for an answer that came meanwhile.
 	if err := e.restoreDeadline(c, nil); err != nil {
 		return err
 	}
+	if e.mayRetry && quiet(c.Conn) && e.d.budget.spend() {
+		return &FirstByteTimeoutError{Silent: e.silent}
+	}
 	_, err = c.reader.Peek(1)
 	return err
 }
--- /dev/null
+++ b/dispatch/messages.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// The numbers of the messages of this package.
+const (
+	numberSuspicions = 500
+	numberCleared    = 501
+)
+
+// Crash says that an upstream crashed while a fingerprint was in flight there.
+type Crash struct {
+	Fingerprint uint64         `cbor:"1,keyasint"`
+	Upstream    fleet.Upstream `cbor:"2,keyasint"`
+	// ID identifies the observation. A message may arrive after the success that
+	// cleared the crash, and ages can't tell, because they leave out the way.
+	ID uint64 `cbor:"5,keyasint"`
+	// AgeMillis is the time since the crash when the message was sent.
+	AgeMillis int64 `cbor:"3,keyasint"`
+	// Alone is true if the host that saw it had no other fingerprint in flight.
+	Alone bool `cbor:"4,keyasint"`
+}
+
+// Suspicions tells other hosts of crashes.
+type Suspicions struct {
+	Crashes []Crash `cbor:"1,keyasint"`
+}
+
+// MessageNumber returns the number of the message type.
+func (Suspicions) MessageNumber() uint16 { return numberSuspicions }
+
+// Cleared says that a suspected fingerprint succeeded after the given crashes.
+type Cleared struct {
+	Fingerprint uint64   `cbor:"1,keyasint"`
+	CrashIDs    []uint64 `cbor:"2,keyasint"`
+}
+
+// MessageNumber returns the number of the message type.
+func (Cleared) MessageNumber() uint16 { return numberCleared }
+
+// Messages returns the message types of the package.
+func Messages() []machine.MessageType {
+	return []machine.MessageType{machine.TypeOf[Suspicions](), machine.TypeOf[Cleared]()}
+}
+
+// Suspected is the input that reports a crash of an upstream.
+type Suspected struct {
+	Upstream fleet.Upstream
+	// Fingerprints are those that were in flight there, sorted.
+	Fingerprints []uint64
+	// Alone is true if there was only one.
+	Alone bool
+}
+
+// MachineInput marks Suspected as an input.
+func (Suspected) MachineInput() {}
+
+// Succeeded is the input that reports a success of a suspected fingerprint.
+type Succeeded struct {
+	Fingerprint uint64
+}
+
+// MachineInput marks Succeeded as an input.
+func (Succeeded) MachineInput() {}
