Wire the quarantine and the metrics endpoint

Cause: suspicions of crashing requests have to reach every host, and operators need the counters. Change: the quarantine is a module of the control loop; operator serves the registry. Result: builds; not measured yet.

--- a/host/host.go
+++ b/host/host.go
@@ -194,10 +194,12 @@
 		Post:                func(in machine.Input) bool { return h.loop.post(h.modules.placement, in) },
 		Registry:            h.registry,
 	})
+	h.quarantine = &dispatch.Table{}
 	h.dispatcher = dispatch.New(dispatch.Config{
 		Placer:   h.placement,
 		Clock:    h.clock,
 		Table:    h.quarantine,
+		Report:   func(in machine.Input) { h.loop.post(h.modules.quarantine, in) },
 		Registry: h.registry,
 	})
 }
--- a/host/modules.go
+++ b/host/modules.go
@@ -4,6 +4,7 @@
 	mathrand "math/rand/v2"
 
 	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/lookup"
@@ -18,6 +19,7 @@
 	configuration moduleID
 	limits        moduleID
 	placement     moduleID
+	quarantine    moduleID
 }
 
 func (h *Host) addModules() {
@@ -50,6 +52,11 @@
 		machine: placement.NewMachine(h.self.Host, h.location.Region),
 		output:  h.placementOutput,
 	}, placement.Messages())
+	h.modules.quarantine = h.loop.add(module{
+		name:    "quarantine",
+		machine: dispatch.NewQuarantine(h.self, h.quarantine),
+		output:  ignoreOutput,
+	}, dispatch.Messages())
 }
 
 func ignoreOutput(machine.Now, machine.Output) {}
@@ -60,7 +67,8 @@
 	types = append(types, membership.Messages()...)
 	types = append(types, configuration.Messages()...)
 	types = append(types, limits.Messages()...)
-	return append(types, placement.Messages()...)
+	types = append(types, placement.Messages()...)
+	return append(types, dispatch.Messages()...)
 }
 
 // membershipOutput carries out the outputs of the membership. A view and a lease
--- a/host/status.go
+++ b/host/status.go
@@ -1,7 +1,10 @@
 package host
 
 import (
+	"bytes"
+
 	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/gateway"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/operator"
 )
@@ -62,4 +65,9 @@
 	return s
 }
 
-func (h *Host) metrics() []byte { return nil }
+// metrics returns the metrics in the text exposition format.
+func (h *Host) metrics() []byte {
+	var out bytes.Buffer
+	gateway.WriteMetrics(&out, h.registry)
+	return out.Bytes()
+}
