--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,8 +11,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/keys"
 	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/traffic"
@@ -248,3 +251,75 @@
 	require.Equal(t, []traffic.Result{traffic.ResultCrashSuspected}, b.placer.reports)
 	require.Equal(t, Suspected{Upstream: "u1", Fingerprints: []uint64{r.Fingerprint}, Alone: true}, <-b.inputs)
 }
+
+// Guards against a cancelled exchange whose answer reaches the next request, and
+// against work that goes on for nobody.
+func TestCancelBreaksTheExchange(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	u := newAdversary(t, "u1", func(marker string) fault {
+		if marker == "a" {
+			reached <- struct{}{}
+			return faultLate
+		}
+		return faultNone
+	})
+	b := newBench(u)
+	r := newRequest("a", idempotent, time.Minute)
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	go func() { <-reached; cancel() }()
+	err := b.Dispatch(ctx, r, &fasthttp.Response{})
+	var refused *problem.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, problem.OutcomeUnknown, refused.Outcome)
+	require.Equal(t, []traffic.Result{traffic.ResultCancelled}, b.placer.reports)
+	close(u.release)
+	response, err := b.run(newRequest("b", idempotent, 5*time.Second))
+	require.NoError(t, err)
+	check(t, "b", response, err, idempotent, u)
+	u.checkConnections(t)
+}
+
+// Guards against writing an at-most-once request to a connection that the
+// upstream has closed while it was idle.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultNone })
+	b := newBench(u)
+	_, err := b.run(newRequest("a", atMostOnce, 5*time.Second))
+	require.NoError(t, err)
+	c := b.pool.pop(u.target().Address)
+	b.pool.put(u.target().Address, c)
+	u.mu.Lock()
+	_ = u.open[0].Close()
+	u.mu.Unlock()
+	require.Eventually(t, func() bool { return !quiet(c.Conn) }, 5*time.Second, time.Millisecond)
+	_, err = b.run(newRequest("b", atMostOnce, 5*time.Second))
+	require.NoError(t, err)
+	require.Equal(t, 2, u.connections())
+}
+
+// Guards against one customer's waiting requests filling the queue of a host.
+func TestQueueIsBounded(t *testing.T) {
+	g := newGate()
+	for range MaxQueuedPerCustomer {
+		require.True(t, g.enter("a"))
+	}
+	require.False(t, g.enter("a"))
+	require.True(t, g.enter("b"))
+	for i := range MaxQueuedPerHost {
+		g.enter(fleet.Customer(fmt.Sprint(i)))
+	}
+	require.False(t, g.enter("c"))
+	g.leave("b")
+	require.True(t, g.enter("c"))
+}
+
+// Guards against a panic that keeps a slot or a connection.
+func TestPanicReleasesEverything(t *testing.T) {
+	u := newAdversary(t, "u1", func(string) fault { return faultNone })
+	b := newBench(u)
+	r := newRequest("a", atMostOnce, 5*time.Second)
+	r.LastCheck = func() error { panic("fault") }
+	require.Panics(t, func() { _, _ = b.run(r) })
+	require.False(t, r.Written())
+	require.Zero(t, b.placer.held)
+}
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -26,7 +26,7 @@
 	crashesToQuarantine = 2
 	// maxSuspects bounds the fingerprints that are remembered; a crash has as
 	// many suspects as the upstream has slots.
-	maxSuspects = 4096
+	maxSuspects = 1024
 	// maxObservers bounds the reports about one crash that are told apart.
 	maxObservers = 16
 	// clearedTime is how long a success is remembered. It is longer than a crash
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -138,8 +138,8 @@
 			{Name: "cut", Apply: rig(func(r *faulttest.Rig) { r.CutBoth("h1", "h2") })},
 		},
 		Build:     func(seed uint64) faulttest.Scenario { return quarantineScenario{newCell(seed, 4)} },
-		MaxSteps:  12,
-		PairSteps: 3,
+		MaxSteps:  24,
+		PairSteps: 4,
 		PairDelay: 50 * time.Millisecond,
 	}).Run(t)
 }
--- a/gateway/entryhosts.go
+++ b/gateway/entryhosts.go
@@ -21,21 +21,22 @@
 func (g *Gateway) entryHosts(fc fiber.Ctx) error {
 	ctx := fc.RequestCtx()
 	c := ctx.UserValue(callKey{}).(*call)
-	answer, err := g.lookUp(ctx)
+	response := &ctx.Response
+	answer, err := g.lookUp(ctx, response.SwapBody(nil)[:0])
 	if err != nil {
 		return err
 	}
-	response := &ctx.Response
 	response.Header.SetContentType(fiber.MIMEApplicationJSON)
 	response.Header.Set(fasthttp.HeaderCacheControl, "max-age="+strconv.Itoa(int(g.Answers.MaxAge()/time.Second)))
 	response.Header.Set(dispatch.HeaderRequestID, c.id)
-	response.SetBodyRaw(answer)
+	response.SwapBody(answer)
 	c.closeIfDraining()
 	g.metrics.lookups.Inc(1)
 	return nil
 }
 
-func (g *Gateway) lookUp(ctx *fasthttp.RequestCtx) ([]byte, error) {
+// lookUp appends the encoded answer to a buffer.
+func (g *Gateway) lookUp(ctx *fasthttp.RequestCtx, buffer []byte) ([]byte, error) {
 	snapshot, view := g.Snapshot(), g.View()
 	if snapshot == nil || view == nil {
 		return nil, problem.NotRun(problem.KindNotReady, "the entry host does not know the others yet")
@@ -56,8 +57,8 @@
 		query.Nearest, _ = g.Regions().Region(client)
 	}
 	self := lookup.Self{Draining: g.Draining(), LeaseValid: g.leaseValid()}
-	answer := g.Answers.Answer(view, self, time.Duration(g.Clock.Now().Instant), query)
-	if answer == nil {
+	answer, ok := g.Answers.Append(buffer, view, self, time.Duration(g.Clock.Now().Instant), query)
+	if !ok {
 		return nil, problem.NotRun(problem.KindNoCapacity, "no entry host can be named")
 	}
 	return answer, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,9 @@
 
 	// MaxConnections bounds the callers' connections; 0 means the default.
 	MaxConnections int
+	// ReadTimeout bounds the time to receive a request; 0 means
+	// RequestReadTimeout.
+	ReadTimeout time.Duration
 	// Registry takes the metrics; nil means the process's default one.
 	Registry metrics.Registry
 	Logger   zerolog.Logger
@@ -87,13 +90,16 @@
 	if config.MaxConnections <= 0 {
 		config.MaxConnections = DefaultMaxConnections
 	}
+	if config.ReadTimeout <= 0 {
+		config.ReadTimeout = RequestReadTimeout
+	}
 	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
 		StrictRouting:                true,
 		BodyLimit:                    MaxBodyBytes,
 		ReadBufferSize:               MaxHeaderBytes,
-		ReadTimeout:                  RequestReadTimeout,
+		ReadTimeout:                  config.ReadTimeout,
 		WriteTimeout:                 responseWriteTimeout,
 		IdleTimeout:                  idleTimeout,
 		DisablePreParseMultipartForm: true,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,7 +24,7 @@
 		return
 	}
 	ctx.Response.Header.SetNoDefaultContentType(true)
-	path, err := canonicalPath(ctx.URI().PathOriginal())
+	path, err := canonicalPath(requestPath(&ctx.Request.Header))
 	if err != nil {
 		c.refuse(err)
 		return
--- a/lookup/answer.go
+++ b/lookup/answer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"encoding/json"
 	"math"
 	"net/netip"
 	"slices"
@@ -52,9 +53,14 @@
 	LeaseValid bool
 }
 
+// candidate is a host that answers may name.
 type candidate struct {
 	EntryHost
 	self bool
+	// hash stands for the address in rendezvous hashing.
+	hash uint64
+	// encoded is the host in JSON.
+	encoded []byte
 }
 
 // candidates returns the members that an answer may name. Overloaded and
@@ -68,15 +74,7 @@
 		if m.State != fleet.StateActive || !m.CallerAddress.IsValid() || own && self.Draining {
 			continue
 		}
-		c := candidate{
-			EntryHost: EntryHost{
-				Address:       m.CallerAddress,
-				Region:        m.Region,
-				FailureDomain: m.FailureDomain,
-				Weight:        weightOf(m.Load),
-			},
-			self: own,
-		}
+		c := newCandidate(m, own)
 		if m.Load >= OverloadedAt || !m.Reachable && !own {
 			poor = append(poor, c)
 		} else {
@@ -89,6 +87,22 @@
 	return good
 }
 
+func newCandidate(m *fleet.ViewMember, own bool) candidate {
+	c := candidate{
+		EntryHost: EntryHost{
+			Address:       m.CallerAddress,
+			Region:        m.Region,
+			FailureDomain: m.FailureDomain,
+			Weight:        weightOf(m.Load),
+		},
+		self: own,
+		hash: xxhash.Sum64String(m.CallerAddress.String()),
+	}
+	// A struct of texts and a number always encodes.
+	c.encoded, _ = json.Marshal(c.EntryHost)
+	return c
+}
+
 // onlySelfWithoutLease reports whether the only good host is this one and it
 // refuses keyed traffic: a partitioned host sees every other one as unreachable.
 func onlySelfWithoutLease(good []candidate, self Self) bool {
@@ -102,105 +116,136 @@
 	return max(1, int(math.Round(weightScale*(1-min(load, 1)))))
 }
 
-// regionOrder returns the regions of the hosts, nearest first. Without a lease
-// the host's own region comes last.
-func regionOrder(hosts []candidate, nearest, own fleet.Region, self Self, delays Delays) []fleet.Region {
-	var order []fleet.Region
-	for i := range hosts {
-		if !slices.Contains(order, hosts[i].Region) {
-			order = append(order, hosts[i].Region)
+// group is the candidates of one region. A host without a lease has a group of
+// its own, which comes last.
+type group struct {
+	region fleet.Region
+	hosts  []candidate
+	last   bool
+}
+
+// groupsOf divides candidates by region.
+func groupsOf(hosts []candidate, self Self) []group {
+	var groups []group
+	for _, h := range hosts {
+		last := h.self && !self.LeaseValid
+		at := slices.IndexFunc(groups, func(g group) bool { return g.region == h.Region && g.last == last })
+		if at < 0 {
+			at = len(groups)
+			groups = append(groups, group{region: h.Region, last: last})
 		}
+		groups[at].hosts = append(groups[at].hosts, h)
 	}
-	slices.SortFunc(order, func(a, b fleet.Region) int {
-		if !self.LeaseValid && (a == own) != (b == own) {
-			if a == own {
-				return 1
-			}
-			return -1
+	return groups
+}
+
+// orderOf returns the numbers of the groups, nearest first. Without a lease the
+// host's own region comes after the others, and the host itself last.
+func orderOf(groups []group, nearest, own fleet.Region, self Self, delays Delays) []int {
+	order := make([]int, len(groups))
+	for i := range order {
+		order[i] = i
+	}
+	rank := func(g *group) int {
+		switch {
+		case g.last:
+			return 2
+		case !self.LeaseValid && g.region == own:
+			return 1
 		}
-		return cmp.Or(cmp.Compare(delayTo(delays, nearest, a), delayTo(delays, nearest, b)), cmp.Compare(a, b))
+		return 0
+	}
+	slices.SortFunc(order, func(i, j int) int {
+		a, b := &groups[i], &groups[j]
+		return cmp.Or(
+			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(delayTo(delays, nearest, a.region), delayTo(delays, nearest, b.region)),
+			cmp.Compare(a.region, b.region))
 	})
 	return order
 }
 
+// delayTo returns the delay between two regions. A region that is not known to
+// be near counts as the farthest.
 func delayTo(delays Delays, from, to fleet.Region) time.Duration {
 	if from == to {
 		return -1
 	}
-	if delays == nil {
-		return math.MaxInt64
-	}
-	if d, ok := delays(from, to); ok {
-		return d
+	if delays != nil {
+		if d, ok := delays(from, to); ok {
+			return d
+		}
 	}
 	return math.MaxInt64
 }
 
-// order sorts the hosts for one spread value: by region, and within a region by
-// weighted rendezvous hashing, so that each host comes first for a part of the
-// clients that is proportional to its weight. Without a lease the host itself
-// comes last.
-func order(hosts []candidate, regions []fleet.Region, spread uint64, self Self) []EntryHost {
-	type scored struct {
-		EntryHost
-		last   bool
-		region int
-		score  float64
-	}
-	list := make([]scored, len(hosts))
-	for i := range hosts {
-		h := &hosts[i]
-		list[i] = scored{
-			EntryHost: h.EntryHost,
-			last:      h.self && !self.LeaseValid,
-			region:    slices.Index(regions, h.Region),
-			score:     rendezvous(h.Address, spread, h.Weight),
-		}
+// selection is a short list of candidates, best first.
+type selection struct {
+	hosts  [MaxHosts]*candidate
+	scores [MaxHosts]float64
+	size   int
+}
+
+// insert adds a candidate by its score and drops the worst one if the list is
+// full.
+func (s *selection) insert(c *candidate, score float64) {
+	at := s.size
+	for at > 0 && s.scores[at-1] < score {
+		at--
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if a.last != b.last {
-			if a.last {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(b.score, a.score), a.Address.Compare(b.Address))
-	})
-	out := make([]EntryHost, len(list))
-	for i := range list {
-		out[i] = list[i].EntryHost
+	if at == MaxHosts {
+		return
 	}
-	return out
+	s.size = min(s.size+1, MaxHosts)
+	copy(s.hosts[at+1:s.size], s.hosts[at:])
+	copy(s.scores[at+1:s.size], s.scores[at:])
+	s.hosts[at], s.scores[at] = c, score
 }
 
-// shorten keeps MaxHosts hosts. Half of them at most come from one region, so
-// that a caller whose region fails has hosts elsewhere.
-func shorten(hosts []EntryHost) []EntryHost {
-	if len(hosts) <= MaxHosts {
-		return hosts
+// add appends a candidate if there is room.
+func (s *selection) add(c *candidate) {
+	if s.size < MaxHosts {
+		s.hosts[s.size] = c
+		s.size++
 	}
-	kept := make([]EntryHost, 0, len(hosts))
-	var rest []EntryHost
-	taken := map[fleet.Region]int{}
-	for _, h := range hosts {
-		if taken[h.Region] < MaxHosts/2 {
-			taken[h.Region]++
-			kept = append(kept, h)
-		} else {
-			rest = append(rest, h)
+}
+
+// choose returns the hosts of an answer in order. Within a region they are
+// ordered by weighted rendezvous hashing, so that each host comes first for a
+// part of the clients that is proportional to its weight. Half of the hosts at
+// most come from one region while there are others, so that a caller whose
+// region fails has hosts elsewhere.
+func choose(groups []group, order []int, spread uint64) selection {
+	var chosen, rest selection
+	for _, number := range order {
+		var best selection
+		hosts := groups[number].hosts
+		for i := range hosts {
+			best.insert(&hosts[i], rendezvous(hosts[i].hash, spread, hosts[i].Weight))
 		}
+		for i, c := range best.hosts[:best.size] {
+			if i < MaxHosts/2 {
+				chosen.add(c)
+			} else {
+				rest.add(c)
+			}
+		}
+		if chosen.size == MaxHosts {
+			return chosen
+		}
+	}
+	for _, c := range rest.hosts[:rest.size] {
+		chosen.add(c)
 	}
-	return append(kept, rest...)[:MaxHosts]
+	return chosen
 }
 
 // rendezvous returns the score of a host for a spread value. The highest score
 // wins; see Schindelhauer and Schomaker, "Weighted distributed hash tables".
-func rendezvous(host netip.AddrPort, spread uint64, weight int) float64 {
-	var data [26]byte
-	address := host.Addr().As16()
-	copy(data[:], address[:])
-	binary.LittleEndian.PutUint16(data[16:], host.Port())
-	binary.LittleEndian.PutUint64(data[18:], spread)
+func rendezvous(host, spread uint64, weight int) float64 {
+	var data [16]byte
+	binary.LittleEndian.PutUint64(data[:], host)
+	binary.LittleEndian.PutUint64(data[8:], spread)
 	const fractionBits = 53
 	u := (float64(xxhash.Sum64(data[:])>>(64-fractionBits)) + 0.5) / (1 << fractionBits)
 	return -float64(weight) / math.Log(u)
--- a/lookup/builder.go
+++ b/lookup/builder.go
@@ -1,9 +1,9 @@
 package lookup
 
 import (
-	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,15 +13,8 @@
 	"github.com/catkinspring/catkinspring/fleet"
 )
 
-// Spreads is the number of different orders of the hosts of a region. Clients
-// are divided over them by hash.
-const Spreads = 128
-
-// MaxCached bounds the encoded answers that are kept, at about 1 KB each.
-const MaxCached = 8192
-
-// MinRebuild bounds how often a changed view discards the cached answers. Loads
-// change with every heartbeat, and answers are cached by callers for seconds.
+// MinRebuild bounds how often a changed view is looked at. Loads change
+// with every heartbeat, and answers are cached by callers for seconds.
 const MinRebuild = 500 * time.Millisecond
 
 // Builder makes encoded answers. It is safe for concurrent use.
@@ -49,46 +42,36 @@
 	Nearest fleet.Region
 }
 
-// Answer returns the encoded answer to a query, which must not be changed. It
-// is nil if the view names no host. at is a monotonic time of the process.
-func (b *Builder) Answer(view *fleet.View, self Self, at time.Duration, query Query) []byte {
+// Append appends the encoded answer to a query, an Answer in JSON. It reports
+// false and appends nothing if the view names no host. at is a monotonic time
+// of the process.
+func (b *Builder) Append(dst []byte, view *fleet.View, self Self, at time.Duration, query Query) ([]byte, bool) {
 	p := b.plan(view, self, at)
-	if len(p.hosts) == 0 {
-		return nil
-	}
-	row := p.row(query.Nearest)
-	spread := spreadOf(query.Client, query.Route)
-	if cached := row.answers[spread].Load(); cached != nil {
-		return *cached
-	}
-	hosts := shorten(order(p.hosts, row.regions, spread, p.self))
-	encoded, err := json.Marshal(Answer{EntryHosts: hosts, MaxAgeSeconds: int(b.maxAge / time.Second)})
-	if err != nil {
-		return nil
+	if len(p.groups) == 0 {
+		return dst, false
 	}
-	if p.cached.Add(1) <= MaxCached {
-		row.answers[spread].Store(&encoded)
+	chosen := choose(p.groups, p.order(query.Nearest), spreadOf(query.Client, query.Route))
+	dst = append(dst, `{"entryHosts":[`...)
+	for i, host := range chosen.hosts[:chosen.size] {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = append(dst, host.encoded...)
 	}
-	return encoded
+	dst = append(dst, `],"maxAgeSeconds":`...)
+	dst = strconv.AppendInt(dst, int64(b.maxAge/time.Second), 10)
+	return append(dst, '}'), true
 }
 
 // plan is what the answers of one view have in common.
 type plan struct {
-	view  *fleet.View
-	self  Self
-	built time.Duration
-	own   fleet.Region
-	hosts []candidate
-	rows  sync.Map // fleet.Region to *row
-	// cached counts the answers that are kept.
-	cached atomic.Int64
+	view   *fleet.View
+	self   Self
+	built  time.Duration
+	own    fleet.Region
 	delays Delays
-}
-
-// row holds the answers for clients of one region.
-type row struct {
-	regions []fleet.Region
-	answers [Spreads]atomic.Pointer[[]byte]
+	groups []group
+	orders sync.Map // fleet.Region to []int
 }
 
 // plan returns the plan of a view. Until MinRebuild has passed it keeps the one
@@ -104,30 +87,25 @@
 			return current
 		}
 	}
-	next := b.newPlan(view, self, at)
-	b.current.Store(next)
-	return next
-}
-
-func (b *Builder) newPlan(view *fleet.View, self Self, at time.Duration) *plan {
-	p := &plan{view: view, self: self, built: at, hosts: candidates(view, self), delays: b.delays}
+	next := &plan{view: view, self: self, built: at, delays: b.delays, groups: groupsOf(candidates(view, self), self)}
 	if m := view.Find(view.Self.Host); m != nil {
-		p.own = m.Region
+		next.own = m.Region
 	}
-	return p
+	b.current.Store(next)
+	return next
 }
 
-// row returns the row of a client region. An unknown region is served like the
-// host's own one, because the caller chose this host.
-func (p *plan) row(region fleet.Region) *row {
-	if region == "" {
-		region = p.own
+// order returns the order of the groups for clients of a region. Clients whose
+// region is not known are served like the host's own, because they chose it.
+func (p *plan) order(nearest fleet.Region) []int {
+	if nearest == "" {
+		nearest = p.own
 	}
-	if r, ok := p.rows.Load(region); ok {
-		return r.(*row)
+	if known, ok := p.orders.Load(nearest); ok {
+		return known.([]int)
 	}
-	made, _ := p.rows.LoadOrStore(region, &row{regions: regionOrder(p.hosts, region, p.own, p.self, p.delays)})
-	return made.(*row)
+	made, _ := p.orders.LoadOrStore(nearest, orderOf(p.groups, nearest, p.own, p.self, p.delays))
+	return made.([]int)
 }
 
 func sameMembers(a, b *fleet.View) bool {
@@ -137,8 +115,8 @@
 	})
 }
 
-// spreadOf divides clients and routes over the spreads.
+// spreadOf returns a hash of client and route.
 func spreadOf(client netip.Addr, route fleet.Route) uint64 {
 	address := client.Unmap().As16()
-	return (xxhash.Sum64(address[:]) ^ xxhash.Sum64String(string(route))) % Spreads
+	return xxhash.Sum64(address[:]) ^ xxhash.Sum64String(string(route))
 }
