--- /dev/null
+++ b/gateway/forward_test.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/problem"
+)
+
+// dispatcherFunc is a Dispatcher of a test.
+type dispatcherFunc func(ctx context.Context, r *dispatch.Request, into *fasthttp.Response) error
+
+func (f dispatcherFunc) Dispatch(ctx context.Context, r *dispatch.Request, into *fasthttp.Response) error {
+	return f(ctx, r, into)
+}
+
+// Guards against a key that goes on working after its withdrawal, for a request
+// that waits for its rate and on a connection that stays open.
+func TestWithdrawnKey(t *testing.T) {
+	var runs atomic.Int64
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) { runs.Add(1) }, nil)
+	c, err := net.Dial("tcp", h.address)
+	require.NoError(t, err)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	send := func(key string) *fasthttp.Response {
+		_, err := c.Write([]byte("POST /orders HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
+			"\r\nContent-Length: 0\r\nIdempotency-Key: " + key + "\r\n\r\n"))
+		require.NoError(t, err)
+		response := &fasthttp.Response{}
+		require.NoError(t, response.Read(reader))
+		return response
+	}
+	require.Equal(t, 200, send("a").StatusCode())
+	h.tokens.onAdmit = h.withdraw
+	requireProblem(t, send("b"), problem.KindKeyInvalid, problem.OutcomeNotRun)
+	h.tokens.onAdmit = nil
+	requireProblem(t, send("c"), problem.KindKeyInvalid, problem.OutcomeNotRun)
+
+	h.snapshot.Store(h.configuration(h.key))
+	for i, change := range []func(){
+		func() { h.suspended.Store(true) },
+		func() { h.suspended.Store(false); h.clock.setLease(0) },
+		func() { h.snapshot.Store(nil) },
+	} {
+		h.clock.setLease(time.Hour)
+		h.tokens.onAdmit = change
+		response := send(fmt.Sprint("d", i))
+		require.Equal(t, 503, response.StatusCode(), "%s", response)
+		h.snapshot.Store(h.configuration(h.key))
+		h.suspended.Store(false)
+	}
+	require.EqualValues(t, 1, runs.Load())
+	require.Equal(t, []string{"complete", "release", "release", "release", "release"}, h.claims.endings())
+	require.EqualValues(t, 4, h.tokens.refunded.Load())
+}
+
+// Guards against a repeat of an operation that runs again or gets another answer.
+func TestRepeatedOperation(t *testing.T) {
+	var runs atomic.Int64
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		runs.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+		ctx.SetContentType("text/x-order")
+		ctx.SetBodyString(strings.Repeat("a", len(ctx.Request.Body())*100))
+	}, nil)
+	for _, body := range []string{"small", strings.Repeat("b", 900)} {
+		header := "Idempotency-Key: " + fmt.Sprint(len(body)) + "\r\n"
+		first := h.ask(t, "POST", "/orders", header, body)
+		require.Equal(t, 202, first.StatusCode())
+		repeat := h.ask(t, "POST", "/orders", header, body)
+		if len(first.Body()) > MaxKeptBody {
+			requireProblem(t, repeat, problem.KindOperationRan, problem.OutcomeRun)
+			continue
+		}
+		require.Equal(t, 202, repeat.StatusCode())
+		require.Equal(t, first.Body(), repeat.Body())
+		require.Equal(t, "text/x-order", string(repeat.Header.ContentType()))
+		require.Equal(t, "true", string(repeat.Header.Peek(headerReplayed)))
+	}
+	require.EqualValues(t, 2, runs.Load())
+}
+
+// Guards against a panic that ends the process, leaves a claim or a token open,
+// or says "not run" after a write.
+func TestPanicCostsOneRequest(t *testing.T) {
+	for _, test := range []struct {
+		run     fasthttp.RequestHandler
+		wrap    func(Dispatcher) Dispatcher
+		outcome problem.Outcome
+		ending  string
+	}{
+		{echo, func(Dispatcher) Dispatcher {
+			return dispatcherFunc(func(context.Context, *dispatch.Request, *fasthttp.Response) error { panic("before") })
+		}, problem.OutcomeNotRun, "release"},
+		{echo, func(d Dispatcher) Dispatcher {
+			return dispatcherFunc(func(ctx context.Context, r *dispatch.Request, into *fasthttp.Response) error {
+				_ = d.Dispatch(ctx, r, into)
+				panic("after")
+			})
+		}, problem.OutcomeUnknown, "abandon"},
+	} {
+		h := newHarness(t, test.run, func(c *Config) { c.Dispatcher = test.wrap(c.Dispatcher) })
+		requireProblem(t, h.ask(t, "POST", "/orders", idempotency, "x"), problem.KindInternal, test.outcome)
+		require.Equal(t, []string{test.ending}, h.claims.endings())
+		requireProblem(t, h.raw(t, "GET /nowhere HTTP/1.1\r\nHost: g\r\n\r\n"), problem.KindRouteUnknown, problem.OutcomeNotRun)
+	}
+}
+
+// Guards against claims and tokens that are given back although the request may
+// have run, or kept although it did not.
+func TestSettlement(t *testing.T) {
+	var fail error
+	h := newHarness(t, echo, func(c *Config) {
+		c.Dispatcher = dispatcherFunc(func(context.Context, *dispatch.Request, *fasthttp.Response) error { return fail })
+	})
+	for i, outcome := range []problem.Outcome{problem.OutcomeNotRun, problem.OutcomeUnknown, problem.OutcomeRun} {
+		fail = problem.New(problem.KindUpstreamFailed, outcome, "test")
+		requireProblem(t, h.ask(t, "POST", "/orders", fmt.Sprintf("Idempotency-Key: %d\r\n", i), ""), problem.KindUpstreamFailed, outcome)
+	}
+	require.Equal(t, []string{"release", "abandon", "abandon"}, h.claims.endings())
+	require.EqualValues(t, 1, h.tokens.refunded.Load())
+}
+
+// Guards against an order that is broken off because its caller left, and
+// against work on a read that nobody waits for.
+func TestCallerDisconnects(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan error)
+	h := newHarness(t, echo, func(c *Config) {
+		c.Dispatcher = dispatcherFunc(func(ctx context.Context, r *dispatch.Request, _ *fasthttp.Response) error {
+			started <- struct{}{}
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return problem.New(problem.KindDeadlineExceeded, problem.OutcomeUnknown, "test")
+		})
+	})
+	for path, want := range map[string]error{"/reads": context.Canceled, "/orders": context.DeadlineExceeded} {
+		c, err := net.Dial("tcp", h.address)
+		require.NoError(t, err)
+		_, err = c.Write([]byte("POST " + path + " HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
+			"\r\nContent-Length: 0\r\nX-Request-Timeout: 500\r\n" + idempotency + "\r\n"))
+		require.NoError(t, err)
+		<-started
+		require.NoError(t, c.Close())
+		require.ErrorIs(t, <-ended, want, path)
+	}
+}
+
+// Guards against answers that reach another caller when buffers are reused, on
+// kept connections with many requests at once.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Connection", "X-Private")
+		ctx.Response.Header.Set("X-Private", "hop")
+		ctx.Response.Header.Set("X-Path", string(ctx.Path()))
+		ctx.Response.Header.Add("Set-Cookie", "a=1")
+		ctx.Response.Header.Add("Set-Cookie", "b=2")
+		ctx.SetBody(ctx.Request.Body())
+	}, nil)
+	const workers, requests = 8, 50
+	var wait sync.WaitGroup
+	failures := make(chan string, workers*requests)
+	for worker := range workers {
+		wait.Go(func() {
+			client := &fasthttp.HostClient{Addr: h.address}
+			for i := range requests {
+				path := []string{"/open", "/reads", "/orders"}[i%3] + fmt.Sprintf("/%d/%d", worker, i)
+				var r fasthttp.Request
+				var response fasthttp.Response
+				r.SetRequestURI("http://g" + path)
+				r.Header.SetMethod("PUT")
+				r.Header.Set("Authorization", "bearer "+h.key.Reveal())
+				r.Header.Set("Idempotency-Key", path)
+				r.SetBodyString(strings.Repeat(path, i))
+				err := client.Do(&r, &response)
+				cookies := strings.Count(response.Header.String(), "Set-Cookie: ")
+				if err != nil || string(response.Body()) != strings.Repeat(path, i) || cookies != 2 ||
+					string(response.Header.Peek("X-Path")) != path || len(response.Header.Peek("X-Private")) > 0 {
+					failures <- fmt.Sprint(path, " ", err, response.String())
+				}
+			}
+		})
+	}
+	wait.Wait()
+	close(failures)
+	require.Empty(t, <-failures)
+	h.claims.mu.Lock()
+	defer h.claims.mu.Unlock()
+	for id, result := range h.claims.results {
+		require.True(t, strings.HasPrefix(string(result.Body), id.Key) || len(result.Body) == 0, "a kept result changed")
+	}
+}
+
+// Guards against lengths and bodies that are lost on HEAD and empty responses.
+func TestHeadAndEmptyResponses(t *testing.T) {
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/open/empty" {
+			ctx.SetStatusCode(fasthttp.StatusNoContent)
+			return
+		}
+		ctx.SetBodyString("hello")
+	}, nil)
+	c, err := net.Dial("tcp", h.address)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = c.Write([]byte("HEAD /open/a HTTP/1.1\r\nHost: g\r\n\r\nGET /open/empty HTTP/1.1\r\nHost: g\r\n\r\nGET /open/a HTTP/1.1\r\nHost: g\r\n\r\n"))
+	require.NoError(t, err)
+	reader := bufio.NewReader(c)
+	head := &fasthttp.Response{SkipBody: true}
+	require.NoError(t, head.Read(reader))
+	require.Equal(t, 5, head.Header.ContentLength())
+	var empty, full fasthttp.Response
+	require.NoError(t, empty.Read(reader))
+	require.Equal(t, 204, empty.StatusCode())
+	require.NoError(t, full.Read(reader))
+	require.Equal(t, "hello", string(full.Body()))
+}
+
+// Guards against callers that can't find an entry host.
+func TestEntryHosts(t *testing.T) {
+	table := lookup.NewTable([]configuration.ClientBlock{{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Region: "far"}})
+	h := newHarness(t, echo, func(c *Config) { c.Regions = func() *lookup.Table { return table } })
+	view := &fleet.View{Self: fleet.Member{Host: "h1"}}
+	for i, region := range []fleet.Region{"near", "far"} {
+		view.Members = append(view.Members, fleet.ViewMember{
+			Member: fleet.Member{Host: fleet.HostID(fmt.Sprint("h", i+1))}, Location: fleet.Location{Region: region},
+			State: fleet.StateActive, Reachable: true, CallerAddress: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1)),
+		})
+	}
+	h.view.Store(view)
+	for client, want := range map[string]fleet.Region{"10.1.2.3": "far", "10.2.2.3": "near", "": "near", "::ffff:10.1.2.3": "far"} {
+		r := h.raw(t, "GET /v1/entry-hosts?route=open&client="+client+" HTTP/1.1\r\nHost: g\r\n\r\n")
+		var answer lookup.Answer
+		require.NoError(t, json.Unmarshal(r.Body(), &answer), "%s", r)
+		require.Len(t, answer.EntryHosts, 2)
+		require.Equal(t, want, answer.EntryHosts[0].Region)
+		require.Equal(t, "max-age=5", string(r.Header.Peek("Cache-Control")))
+		require.Equal(t, "application/json", string(r.Header.ContentType()))
+		require.NotEmpty(t, r.Header.Peek("X-Request-Id"))
+	}
+	for query, kind := range map[string]problem.Kind{
+		"": problem.KindMalformed, "route=none": problem.KindRouteUnknown, "route=open&client=x": problem.KindMalformed,
+	} {
+		requireProblem(t, h.raw(t, "GET /v1/entry-hosts?"+query+" HTTP/1.1\r\nHost: g\r\n\r\n"), kind, problem.OutcomeNotRun)
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -127,7 +127,9 @@
 	draining  atomic.Bool
 	poisoned  atomic.Bool
 	address   string
-	upstream  *fasthttp.Server
+
+	upstreamAddress netip.AddrPort
+	upstream        *fasthttp.Server
 }
 
 // newHarness starts a gateway and an upstream with a handler.
@@ -143,11 +145,13 @@
 	require.NoError(t, err)
 	go func() { _ = h.upstream.Serve(upstreamListener) }()
 
+	h.upstreamAddress = upstreamListener.Addr().(*net.TCPAddr).AddrPort()
+
 	config := Config{
 		Snapshot: h.snapshot.Load, View: h.view.Load, Answers: lookup.NewBuilder(nil, 5*time.Second),
 		Lease: h.clock, Clock: h.clock, Limiter: h.tokens, Claimer: h.claims,
 		Dispatcher: dispatch.New(dispatch.Config{
-			Placer: fixedPlacer{upstreamListener.Addr().(*net.TCPAddr).AddrPort()}, Clock: h.clock, Registry: metrics.NewRegistry(),
+			Placer: fixedPlacer{h.upstreamAddress}, Clock: h.clock, Registry: metrics.NewRegistry(),
 		}),
 		Quarantined:  func(uint64) bool { return h.poisoned.Load() },
 		KeySuspended: func(string) bool { return h.suspended.Load() },
