--- a/internal/faulttest/matrix.go
+++ b/internal/faulttest/matrix.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sourcegraph/conc/pool"
 )
 
 // cellVariable names the environment variable that selects one cell, in the
@@ -43,6 +45,9 @@
 	PairSteps int
 	// PairDelay is the time between the two faults of a pair.
 	PairDelay time.Duration
+	// Parallel is the number of cells that run at the same time; 0 and 1 run one
+	// after the other. Build must then not share state between scenarios.
+	Parallel int
 }
 
 type cell struct {
@@ -64,13 +69,17 @@
 func (m *Matrix) Run(t *testing.T) {
 	t.Helper()
 	selected := os.Getenv(cellVariable)
-	passed, failed := 0, 0
+	var cells []cell
 	for _, c := range m.cells() {
-		name := m.name(c)
-		if selected != "" && selected != name {
-			continue
+		if selected == "" || selected == m.name(c) {
+			cells = append(cells, c)
 		}
-		violations := m.runCell(t, c, selected != "")
+	}
+	results := m.runCells(t, cells, selected != "")
+	passed, failed := 0, 0
+	for i, c := range cells {
+		name := m.name(c)
+		violations := results[i]
 		if len(violations) == 0 {
 			passed++
 			continue
@@ -81,6 +90,31 @@
 	fmt.Printf("matrix %s: %d passed, %d failed\n", m.Module, passed, failed)
 }
 
+// Violations runs all cells and returns the violations of those that fail, by
+// name. Tests of a deliberately wrong module use it.
+func (m *Matrix) Violations(t *testing.T) map[string][]string {
+	t.Helper()
+	cells := m.cells()
+	failing := map[string][]string{}
+	for i, violations := range m.runCells(t, cells, false) {
+		if len(violations) > 0 {
+			failing[m.name(cells[i])] = violations
+		}
+	}
+	return failing
+}
+
+// runCells returns the violations of each cell.
+func (m *Matrix) runCells(t *testing.T, cells []cell, trace bool) [][]string {
+	results := make([][]string, len(cells))
+	workers := pool.New().WithMaxGoroutines(max(m.Parallel, 1))
+	for i, c := range cells {
+		workers.Go(func() { results[i] = m.runCell(t, c, trace) })
+	}
+	workers.Wait()
+	return results
+}
+
 func (m *Matrix) cells() []cell {
 	var cells []cell
 	for _, seed := range m.Seeds {
--- a/internal/faulttest/rig.go
+++ b/internal/faulttest/rig.go
@@ -23,6 +23,11 @@
 	// Offset is added to the node's monotonic clock, so that no test compares
 	// the clocks of two nodes.
 	Offset time.Duration
+	// WallOffset is added to the node's wall clock.
+	WallOffset time.Duration
+
+	drift      int64 // parts per million by which the monotonic clock is fast
+	driftSince machine.Instant
 
 	rig    *Rig
 	down   bool
@@ -255,11 +260,23 @@
 // Time returns the node's clocks.
 func (n *Node) Time() machine.Now {
 	return machine.Now{
-		Instant:    n.rig.now.Add(n.Offset),
-		WallMillis: wallStart + time.Duration(n.rig.now).Milliseconds(),
+		Instant:    n.rig.now.Add(n.Offset + n.drifted()),
+		WallMillis: wallStart + (time.Duration(n.rig.now) + n.WallOffset).Milliseconds(),
 	}
 }
 
+// SetDrift makes the node's monotonic clock run fast by parts per million from
+// now on, or slow if it is negative.
+func (n *Node) SetDrift(partsPerMillion int64) {
+	n.Offset += n.drifted()
+	n.drift = partsPerMillion
+	n.driftSince = n.rig.now
+}
+
+func (n *Node) drifted() time.Duration {
+	return n.rig.now.Sub(n.driftSince) * time.Duration(n.drift) / 1_000_000
+}
+
 // Kill stops the node for good. Messages to it are lost.
 func (n *Node) Kill() { n.down = true }
 
--- a/membership/balance.go
+++ b/membership/balance.go
@@ -171,6 +171,8 @@
 	// floor is the number that every active member gets, extra the number of
 	// members that get one more.
 	floor, extra int
+	// above is the number of members with more than floor partitions.
+	above int
 }
 
 func (r *roster) partitionShares() *shares {
@@ -201,6 +203,11 @@
 	if s.active > 0 {
 		s.floor, s.extra = total/s.active, total%s.active
 	}
+	for _, count := range s.counts {
+		if count > s.floor {
+			s.above++
+		}
+	}
 	return s
 }
 
@@ -213,16 +220,7 @@
 	if count <= s.floor {
 		return false
 	}
-	if count > s.floor+1 {
-		return true
-	}
-	above := 0
-	for _, c := range s.counts {
-		if c > s.floor {
-			above++
-		}
-	}
-	return above > s.extra
+	return count > s.floor+1 || s.above > s.extra
 }
 
 // receiver returns the active member with the fewest partitions, if it may
@@ -239,7 +237,17 @@
 
 func (s *shares) move(from, to fleet.Incarnation) {
 	if _, active := s.counts[from]; active {
-		s.counts[from]--
+		s.add(from, -1)
+	}
+	s.add(to, 1)
+}
+
+func (s *shares) add(i fleet.Incarnation, n int) {
+	if s.counts[i] > s.floor {
+		s.above--
+	}
+	s.counts[i] += n
+	if s.counts[i] > s.floor {
+		s.above++
 	}
-	s.counts[to]++
 }
--- a/membership/duty.go
+++ b/membership/duty.go
@@ -12,6 +12,9 @@
 	next machine.Instant
 	// pending is when the present work was first seen; 0 for none.
 	pending machine.Instant
+	// idle is the generation in which nothing is left to do unless a member
+	// falls silent; 0 for none.
+	idle uint64
 }
 
 // leaveState follows the departure of this host.
@@ -32,7 +35,9 @@
 	}
 	m.duty.next = m.now.Instant.Add(m.o.LeaseDuration / dutiesPerLease)
 	if m.known == nil {
-		if m.store.absent {
+		if m.leaving.asked {
+			m.leftBeforeJoining()
+		} else if m.store.absent {
 			m.propose(m.firstRoster())
 		}
 		return
@@ -41,12 +46,15 @@
 		m.propose(r)
 		return
 	}
-	if m.self() == nil {
+	if m.stopped || m.self() == nil || m.idle() {
 		return
 	}
 	r := m.cellDuty()
 	if r == nil {
 		m.duty.pending = 0
+		if m.known.steady() {
+			m.duty.idle = m.known.Generation
+		}
 		return
 	}
 	if m.duty.pending == 0 {
@@ -57,6 +65,35 @@
 	}
 }
 
+// idle reports whether nothing changed since no work was found. It spares the
+// computation of an update in the normal state.
+func (m *Membership) idle() bool {
+	if m.duty.idle != m.known.Generation {
+		return false
+	}
+	for i, p := range m.peers {
+		if len(p.suspects) > 0 || m.silentFor(i, m.o.LeaseDuration) {
+			return false
+		}
+	}
+	return true
+}
+
+// steady reports whether no change of the roster is under way.
+func (r *roster) steady() bool {
+	for i := range r.Entries {
+		if e := &r.Entries[i]; e.State != stateActive || e.Bound > e.Weight {
+			return false
+		}
+	}
+	for i := range r.Partitions {
+		if !r.Partitions[i].Next.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // rank is the number of live members before this one that it hears.
 func (m *Membership) rank() int {
 	rank := 0
@@ -113,6 +150,7 @@
 	case self == nil && m.joined:
 		return nil
 	case self == nil && m.leaving.asked:
+		m.leftBeforeJoining()
 		return nil
 	case self == nil:
 		return m.join()
@@ -182,6 +220,13 @@
 	return r
 }
 
+// leftBeforeJoining ends the machine of a host that holds nothing. It runs only
+// when the result of every attempt to join is known.
+func (m *Membership) leftBeforeJoining() {
+	m.stopped = true
+	m.emit(Left{})
+}
+
 // mayFenceSelf reports whether a leaving host may stop: callers had time to
 // learn of it, and its partitions have moved or can't move.
 func (m *Membership) mayFenceSelf() bool {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -226,22 +226,19 @@
 	if m.known == nil || to == m.o.Self.Host {
 		return
 	}
-	value, err := m.known.encode()
-	if err != nil {
-		m.event("roster-error", string(to), err.Error())
-		return
-	}
-	m.emit(machine.Send{To: to, Message: RosterUpdate{Version: m.version, Value: value}})
+	m.emit(machine.Send{To: to, Message: RosterUpdate{Version: m.version, Value: m.value}})
 }
 
 // receiveRoster adopts a newer roster and confirms it to the sender.
 func (m *Membership) receiveRoster(from fleet.Member, update RosterUpdate) {
-	r, err := decodeRoster(update.Value)
-	if err != nil {
-		m.event("roster-error", from.String(), err.Error())
-		return
+	if m.known == nil || update.Version != m.version {
+		r, err := decodeRoster(update.Value)
+		if err != nil {
+			m.event("roster-error", from.String(), err.Error())
+			return
+		}
+		m.adopt(r, update.Version, update.Value)
 	}
-	m.adopt(r, update.Version)
 	if m.stopped {
 		return
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -59,6 +59,7 @@
 	// with what the store holds for certain.
 	known   *roster
 	version uint64
+	value   []byte // encoded form of known
 	peers   map[fleet.Incarnation]*peer
 	fences  map[fleet.Incarnation]*fence
 
@@ -205,7 +206,9 @@
 	m.scheduleStore()
 	m.sendHeartbeats()
 	m.performDuties()
-	m.publishSoftChanges()
+	if !m.stopped {
+		m.publishSoftChanges()
+	}
 }
 
 func (m *Membership) emit(out machine.Output) {
@@ -233,13 +236,13 @@
 }
 
 // adopt makes a roster that the store holds the known one.
-func (m *Membership) adopt(r *roster, version uint64) {
+func (m *Membership) adopt(r *roster, version uint64, value []byte) {
 	if m.known != nil && r.Generation <= m.known.Generation {
-		m.version = max(m.version, version)
 		return
 	}
 	m.known = r
 	m.version = version
+	m.value = value
 	m.updatePeers()
 	m.updateFences()
 	m.publishContacts()
--- a/membership/scenario_test.go
+++ b/membership/scenario_test.go
@@ -13,6 +13,9 @@
 // lease is the lease duration of all scenarios.
 const lease = MinLeaseDuration
 
+// maxDrift is the largest drift between two clocks in parts per million.
+const maxDrift = 1000
+
 // process is one incarnation under test and what it believes.
 type process struct {
 	node    *faulttest.Node
@@ -38,6 +41,7 @@
 	all        []*process
 	violations []string
 	play       func(s *cellScenario)
+	faulted    bool
 	lost       map[fleet.HostID]bool // hosts that a fault killed for good
 	outputs    func(p *process, out machine.Output)
 }
@@ -82,6 +86,7 @@
 		Rand:          rand.New(rand.NewPCG(s.rig.Rand.Uint64(), 1)),
 	})
 	p.node = s.rig.AddNode(member, p.machine)
+	p.node.SetDrift(s.rig.Rand.Int64N(maxDrift) - maxDrift/2)
 	s.running[id] = p
 	s.all = append(s.all, p)
 	return p
--- a/membership/storecalls.go
+++ b/membership/storecalls.go
@@ -12,6 +12,7 @@
 	open     bool
 	opened   machine.Instant
 	proposal *roster // of an open write; nil for a read
+	value    []byte  // encoded form of proposal
 	// before is the known generation when the open read started.
 	before uint64
 	// mustRead is true if the last write did not take effect for certain.
@@ -21,6 +22,8 @@
 	// behind is true if the last read found an older roster than was known
 	// before it: the store was restored from a backup.
 	behind bool
+	// behindVersion is the store version of that older roster.
+	behindVersion uint64
 	// notBefore delays the next call after a failure.
 	notBefore machine.Instant
 	// conflicts counts the writes in a row that another host overtook.
@@ -121,6 +124,11 @@
 		m.delayStore()
 		return
 	}
+	if m.known != nil && in.Version == m.version {
+		s.absent, s.behind = false, false
+		m.noteRead(in.Started, m.known.Generation)
+		return
+	}
 	r, err := decodeRoster(in.Value)
 	if err != nil {
 		m.event("roster-error", m.o.Cell, err.Error())
@@ -130,12 +138,12 @@
 	s.absent = false
 	s.behind = r.Generation < s.before
 	if s.behind {
-		m.version = in.Version
+		s.behindVersion = in.Version
 		m.event("roster-restored", m.o.Cell, "the store holds an older roster than the fleet; it is written back")
 		return
 	}
 	m.noteRead(in.Started, r.Generation)
-	m.adopt(r, in.Version)
+	m.adopt(r, in.Version, in.Value)
 }
 
 // delayStore spaces the calls while the store fails.
@@ -160,7 +168,7 @@
 	s.absent = false
 	s.behind = false
 	m.noteRead(in.Started, proposal.Generation)
-	m.adopt(proposal, in.Version)
+	m.adopt(proposal, in.Version, s.value)
 	m.pushRoster()
 }
 
@@ -173,9 +181,13 @@
 		return
 	}
 	m.store.proposal = r
-	if m.store.absent {
+	m.store.value = value
+	switch {
+	case m.store.absent:
 		m.call(machine.StoreCall{Op: machine.StoreCreate, Value: value})
-		return
+	case m.store.behind:
+		m.call(machine.StoreCall{Op: machine.StoreUpdate, Version: m.store.behindVersion, Value: value})
+	default:
+		m.call(machine.StoreCall{Op: machine.StoreUpdate, Version: m.version, Value: value})
 	}
-	m.call(machine.StoreCall{Op: machine.StoreUpdate, Version: m.version, Value: value})
 }
