--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -54,6 +54,9 @@
 const (
 	MaxQueuedPerCustomer = 64
 	MaxQueuedPerHost     = 1024
+	// MaxQueuedAnonymous bounds the requests of open routes, which have no
+	// customer, so that they can't fill the queue of the host.
+	MaxQueuedAnonymous = MaxQueuedPerHost / 4
 )
 
 // gate bounds the requests that wait for a slot.
@@ -71,7 +74,11 @@
 func (g *gate) enter(customer fleet.Customer) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.total >= MaxQueuedPerHost || g.customer[customer] >= MaxQueuedPerCustomer {
+	bound := MaxQueuedPerCustomer
+	if customer == "" {
+		bound = MaxQueuedAnonymous
+	}
+	if g.total >= MaxQueuedPerHost || g.customer[customer] >= bound {
 		return false
 	}
 	g.total++
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -214,9 +214,6 @@
 		mayRetry: number < MaxRetries && !a.request.atMostOnce(),
 		response: a.response,
 	}
-	flight := a.d.flights.of(target.Name)
-	flight.enter(a.request.Fingerprint)
-	defer flight.leave(a.request.Fingerprint)
 	a.d.metrics.attempts.Inc(1)
 
 	out = e.run(a.header, a.body)
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -252,6 +252,34 @@
 	require.Equal(t, Suspected{Upstream: "u1", Fingerprints: []uint64{r.Fingerprint}, Alone: true}, <-b.inputs)
 }
 
+// Guards against blaming one of several requests that were in flight at a crash.
+func TestCrashWithOthersInFlight(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	u := newAdversary(t, "u1", func(marker string) fault {
+		if marker == "bystander" {
+			reached <- struct{}{}
+			return faultStall
+		}
+		return faultCrash
+	})
+	b := newBench(u)
+	bystander, culprit := newRequest("bystander", atMostOnce, 20*time.Second), newRequest("culprit", atMostOnce, 20*time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = b.run(bystander)
+	}()
+	<-reached
+	_, err := b.run(culprit)
+	require.Error(t, err)
+	<-done
+	both := []uint64{bystander.Fingerprint, culprit.Fingerprint}
+	slices.Sort(both)
+	for range 2 {
+		require.Equal(t, Suspected{Upstream: "u1", Fingerprints: both}, <-b.inputs)
+	}
+}
+
 // Guards against a cancelled exchange whose answer reaches the next request, and
 // against work that goes on for nobody.
 func TestCancelBreaksTheExchange(t *testing.T) {
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -108,6 +108,9 @@
 	if err := e.request.LastCheck(); err != nil {
 		return outcome{result: traffic.ResultUnused, refused: err}
 	}
+	flight := e.d.flights.of(e.target.Name)
+	flight.enter(e.request.Fingerprint)
+	defer flight.leave(e.request.Fingerprint)
 	if err := e.write(c, buffers); err != nil {
 		return e.writeFailed(c, err)
 	}
@@ -198,10 +201,11 @@
 }
 
 // awaitFirstByte waits for the response to begin. When the route's bound has
-// passed it probes the upstream with a new connection. If that works the
-// connection is silent or the request slow: an idempotent request is tried
-// again, any other keeps waiting, because its answer is worth more than an
-// early "unknown".
+// passed on a connection that was used before, it probes the upstream with a new
+// one; if that works the connection is taken to be silent. On a new connection
+// the upstream itself is slow, whatever it answers to a probe. An idempotent
+// request is tried again, any other keeps waiting, because its answer is worth
+// more than an early "unknown".
 func (e *exchange) awaitFirstByte(c *connection) error {
 	bound := e.request.Route.FirstByteTimeout()
 	until := time.Now().Add(bound)
@@ -220,7 +224,7 @@
 		return e.restoreDeadline(c, err)
 	}
 	e.retire = true
-	e.silent = e.d.prober.probe(e.target.Address) == probeWorks
+	e.silent = c.reused && e.d.prober.probe(e.target.Address) == probeWorks
 	if e.silent {
 		e.d.metrics.silent.Inc(1)
 		e.d.pool.distrust(e.target.Address)
--- a/dispatch/headers.go
+++ b/dispatch/headers.go
@@ -46,6 +46,9 @@
 	"Request-Outcome": true,
 }
 
+// defaultHost is the Host of requests that came without one.
+const defaultHost = "upstream"
+
 // secretFilter finds a caller's key in what would be forwarded.
 type secretFilter struct {
 	secret string
@@ -154,7 +157,11 @@
 	to.SetNoDefaultContentType(true)
 	to.SetMethodBytes(from.Header.Method())
 	to.SetRequestURIBytes(filter.withoutSecrets(target))
-	to.SetHostBytes(from.Header.Host())
+	// HTTP/1.0 callers may send no Host, which HTTP/1.1 upstreams need.
+	to.SetHost(defaultHost)
+	if host := from.Header.Host(); len(host) > 0 {
+		to.SetHostBytes(host)
+	}
 	names := connectionNames(from.Header.PeekAll("Connection"))
 	for name, value := range from.Header.All() {
 		if hopByHop[string(name)] || callerOnly[string(name)] || listed(names, name) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -177,7 +177,7 @@
 	if f.who.customer != nil {
 		admission, err := f.g.Limiter.Admit(ctx, f.who.customer.ID)
 		if err != nil {
-			return err
+			return notRun(err, problem.KindRateExceeded, "the customer's rate could not be checked")
 		}
 		f.admission = admission
 	}
@@ -188,7 +188,7 @@
 			Deadline:    f.request.Deadline,
 		})
 		if err != nil {
-			return err
+			return notRun(err, problem.KindClaimUnavailable, "the operation could not be claimed")
 		}
 		if claim == nil {
 			return f.replay(earlier)
@@ -198,6 +198,19 @@
 	return f.g.Dispatcher.Dispatch(ctx, f.request, &f.ctx.Response)
 }
 
+// notRun returns the problem for an error of a module that is asked before
+// anything is written. Problems of the module itself stay.
+func notRun(err error, kind problem.Kind, detail string) error {
+	var refused *problem.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		kind, detail = problem.KindDeadlineExceeded, "the request could not be admitted in time"
+	}
+	return problem.NotRun(kind, detail).WithCause(err)
+}
+
 // settle gives the token and the claim back if nothing ran, and records the
 // result of an operation.
 func (f *forwarding) settle(err error) {
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -162,6 +162,22 @@
 	}
 }
 
+// Guards against a key that reaches an upstream by any way that a caller may
+// have put it in.
+func TestKeyNeverReachesTheUpstream(t *testing.T) {
+	seen := make(chan string, 1)
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) { seen <- ctx.Request.String() }, nil)
+	key := h.key.Reveal()
+	r := h.raw(t, "POST /orders/1?a=1&k="+key+" HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer "+key+"\r\nReferer: http://g/?k="+key+
+		"\r\nCookie: k="+key+"\r\nTrailer: X-Key\r\nTransfer-Encoding: chunked\r\n"+idempotency+"\r\n2\r\nab\r\n0\r\nX-Key: "+key+"\r\n\r\n")
+	require.Equal(t, 200, r.StatusCode(), "%s", r)
+	request := <-seen
+	require.NotContains(t, request, h.key.Secret())
+	require.NotContains(t, request, "X-Key")
+	require.True(t, strings.HasPrefix(request, "POST /orders/1?a=1 HTTP/1.1\r\n"), request)
+	require.True(t, strings.HasSuffix(request, "\r\n\r\nab"), request)
+}
+
 // Guards against answers that reach another caller when buffers are reused, on
 // kept connections with many requests at once.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -15,7 +15,7 @@
 // and this host may have understood differently. The codec has accepted them
 // already, so the connection must be closed after the refusal.
 func checkFraming(header *fasthttp.RequestHeader) error {
-	lengths, encodings := 0, 0
+	lengths, encodings, hosts := 0, 0, 0
 	raw := header.RawHeaders()
 	for len(raw) > 0 {
 		line, rest, found := bytes.Cut(raw, []byte("\r\n"))
@@ -33,6 +33,8 @@
 		switch {
 		case strings.EqualFold(string(name), fasthttp.HeaderContentLength):
 			lengths++
+		case strings.EqualFold(string(name), fasthttp.HeaderHost):
+			hosts++
 		case strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
 			encodings++
 			if !strings.EqualFold(string(value), "chunked") {
@@ -43,6 +45,9 @@
 	if lengths > 1 || encodings > 1 || lengths+encodings > 1 {
 		return malformed("the request has more than one framing header")
 	}
+	if hosts > 1 || hosts == 0 && header.IsHTTP11() {
+		return malformed("the request does not have one Host header")
+	}
 	if !header.IsHTTP11() && encodings > 0 {
 		return malformed("an HTTP/1.0 request has a transfer encoding")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,7 @@
 	g.server.ErrorHandler = g.parseError
 	g.server.HeaderReceived = g.headerReceived
 	g.server.SecureErrorLogMessage = true
+	g.server.CloseOnShutdown = true
 	return g
 }
 
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -61,6 +61,11 @@
 		{"rate", post(own + idempotency), problem.KindRateExceeded, func() { h.tokens.refuse = problem.NotRun(problem.KindRateExceeded, "too fast") }},
 		{"quarantine", post(own + idempotency), problem.KindQuarantined, func() { h.poisoned.Store(true) }},
 		{"lease", post(own + idempotency), problem.KindLeaseExpired, func() { h.clock.setLease(0) }},
+		{"rate in time", post(own + idempotency), problem.KindDeadlineExceeded, func() {
+			h.tokens.refuse = context.DeadlineExceeded
+			h.poisoned.Store(false)
+			h.clock.setLease(time.Hour)
+		}},
 		{"suspended", post(own + idempotency), problem.KindKeySuspended, func() { h.suspended.Store(true) }},
 		{"draining", post(own + idempotency), problem.KindDraining, func() { h.draining.Store(true) }},
 		{"not ready", "GET /v1/entry-hosts?route=open HTTP/1.1\r\nHost: g\r\n\r\n", problem.KindNotReady, func() { h.draining.Store(false); h.snapshot.Store(nil) }},
@@ -102,6 +107,7 @@
 		"POST /open HTTP/1.1\r\nHost: g\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n\r\n",
 		"POST /open HTTP/1.1\r\nHost: g\r\nA: b\nContent-Length: 2\r\n\r\nab",
 		"GET /open HTTP/1.1\r\nHost: g\r\nHost: h\r\n\r\n",
+		"GET /open HTTP/1.1\r\n\r\n",
 		"GET /open/../orders HTTP/1.1\r\nHost: g\r\n\r\n",
 		"GET /open/%2e%2e/orders HTTP/1.1\r\nHost: g\r\n\r\n",
 		"GET /open/..;a/orders HTTP/1.1\r\nHost: g\r\n\r\n",
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -152,6 +152,9 @@
 	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodyLimit(header))}
 }
 
+// chunkedBody is what the codec gives as the length of a chunked body.
+const chunkedBody = -1
+
 func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) int {
 	snapshot := g.Snapshot()
 	if snapshot == nil {
@@ -166,6 +169,9 @@
 		return unauthenticatedBodyBytes
 	}
 	limit := min(route.MaxBodyBytes, MaxBodyBytes)
+	if length := header.ContentLength(); length != chunkedBody && length <= unauthenticatedBodyBytes {
+		return limit
+	}
 	if _, err := g.authenticate(snapshot, route, header); err != nil {
 		return min(limit, unauthenticatedBodyBytes)
 	}
--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,25 @@
 	}
 }
 
+// Guards against a rebuild for each configuration change, and against one that
+// is left out.
+func TestCacheFollowsTheBlocks(t *testing.T) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	blocks := randomBlocks(random, 100, 3, 200)
+	var c Cache
+	require.Nil(t, c.Table())
+	require.True(t, c.Update(nil))
+	require.True(t, c.Update(blocks))
+	built := c.Table()
+	require.False(t, c.Update(slices.Clone(blocks)))
+	require.Same(t, built, c.Table())
+	changed := slices.Clone(blocks)
+	changed[7].Region = "other"
+	require.True(t, c.Update(changed))
+	region, _ := c.Table().Region(changed[7].Prefix.Addr())
+	require.Equal(t, fleet.Region("other"), region)
+}
+
 func testView(hosts int) *fleet.View {
 	v := &fleet.View{Self: fleet.Member{Host: "h0"}}
 	for i := range hosts {
