--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -44,7 +44,13 @@
 				})
 				spare := newAdversary(t, "u2", func(string) fault { return faultNone })
 				b := newBench(u, spare)
-				response, err := b.run(newRequest("first", semantics, 200*time.Millisecond))
+				timeout := 20 * time.Second
+				if semantics == atMostOnce && (f == faultStall || f == faultLate) {
+					timeout = 200 * time.Millisecond
+				}
+				r := newRequest("first", semantics, timeout)
+				r.Route.FirstByteTimeoutMillis = 100
+				response, err := b.run(r)
 				check(t, "first", response, err, semantics, u, spare)
 				if semantics == idempotent || slices.Contains(harmless, f) || f == faultShed {
 					require.NoError(t, err)
@@ -206,7 +212,7 @@
 	b := newBench(u)
 	_, err := b.run(newRequest("a", idempotent, 5*time.Second))
 	require.NoError(t, err)
-	_, err = b.run(newRequest("b", idempotent, 400*time.Millisecond))
+	_, err = b.run(newRequest("b", idempotent, 2*time.Second))
 	require.NoError(t, err)
 	require.Equal(t, []traffic.Result{traffic.ResultAnswered, traffic.ResultConnectionFault, traffic.ResultAnswered}, b.placer.reports)
 	require.EqualValues(t, 1, b.metrics.silent.Count())
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -95,10 +95,9 @@
 	head := e.d.buffers.get()
 	defer e.d.buffers.put(head)
 	head.B = header.AppendBytes(head.B[:0])
-	buffers := net.Buffers{head.B, body}
 	if len(body) <= joinedBody {
 		head.B = append(head.B, body...)
-		buffers = net.Buffers{head.B}
+		body = nil
 	}
 
 	if err := e.ctx.Err(); err != nil {
@@ -111,7 +110,7 @@
 	flight := e.d.flights.of(e.target.Name)
 	flight.enter(e.request.Fingerprint)
 	defer flight.leave(e.request.Fingerprint)
-	if err := e.write(c, buffers); err != nil {
+	if err := e.write(c, head.B, body); err != nil {
 		return e.writeFailed(c, err)
 	}
 	h, err := e.read(c)
@@ -123,11 +122,19 @@
 
 // write writes the request. If it returns an error and wrote is false, no byte
 // reached the connection.
-func (e *exchange) write(c *connection, buffers net.Buffers) error {
+func (e *exchange) write(c *connection, head, body []byte) (err error) {
 	before := e.request.written.Swap(true)
 	e.wrote = true
 	e.started = time.Now()
-	n, err := buffers.WriteTo(c.Conn)
+	var n int64
+	if body == nil {
+		var written int
+		written, err = c.Write(head)
+		n = int64(written)
+	} else {
+		buffers := net.Buffers{head, body}
+		n, err = buffers.WriteTo(c.Conn)
+	}
 	if err != nil && n == 0 {
 		e.wrote = false
 		e.request.written.Store(before)
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -150,15 +150,18 @@
 			return problem.New(problem.KindDeadlineExceeded, problem.OutcomeUnknown, "test")
 		})
 	})
-	for path, want := range map[string]error{"/reads": context.Canceled, "/orders": context.DeadlineExceeded} {
+	for _, test := range []struct {
+		path, headers string
+		want          error
+	}{{"/reads", "", context.Canceled}, {"/orders", "X-Request-Timeout: 200\r\n", context.DeadlineExceeded}} {
 		c, err := net.Dial("tcp", h.address)
 		require.NoError(t, err)
-		_, err = c.Write([]byte("POST " + path + " HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
-			"\r\nContent-Length: 0\r\nX-Request-Timeout: 500\r\n" + idempotency + "\r\n"))
+		_, err = c.Write([]byte("POST " + test.path + " HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
+			"\r\nContent-Length: 0\r\n" + test.headers + idempotency + "\r\n"))
 		require.NoError(t, err)
 		<-started
 		require.NoError(t, c.Close())
-		require.ErrorIs(t, <-ended, want, path)
+		require.ErrorIs(t, <-ended, test.want, test.path)
 	}
 }
 
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -83,22 +83,26 @@
 	if len(raw) == 0 || raw[0] != '/' {
 		return "", malformed("the request target is not a path")
 	}
-	decoded, err := url.PathUnescape(string(raw))
-	if err != nil {
-		return "", malformed("the path has an invalid escape")
-	}
-	if strings.Count(decoded, "/") != bytes.Count(raw, []byte("/")) {
-		return "", malformed("the path has an encoded slash")
+	decoded := string(raw)
+	if strings.IndexByte(decoded, '%') >= 0 {
+		var err error
+		if decoded, err = url.PathUnescape(decoded); err != nil {
+			return "", malformed("the path has an invalid escape")
+		}
+		if strings.Count(decoded, "/") != bytes.Count(raw, []byte("/")) {
+			return "", malformed("the path has an encoded slash")
+		}
 	}
 	for i := range len(decoded) {
 		if decoded[i] < ' ' || decoded[i] == 0x7f || decoded[i] == '\\' {
 			return "", malformed("the path holds a character that is not allowed")
 		}
 	}
-	segments := strings.Split(decoded[1:], "/")
-	for i, segment := range segments {
+	for rest, more := decoded[1:], true; more; {
+		var segment string
+		segment, rest, more = strings.Cut(rest, "/")
 		name, _, _ := strings.Cut(segment, ";")
-		if name == "." || name == ".." || name == "" && i < len(segments)-1 {
+		if name == "." || name == ".." || name == "" && more {
 			return "", malformed("the path has a dot segment or an empty one")
 		}
 	}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -75,11 +75,20 @@
 	case fasthttp.StatusUnauthorized:
 		response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
 	case fasthttp.StatusMethodNotAllowed:
-		response.Header.Set(fasthttp.HeaderAllow, "GET, HEAD")
+		response.Header.Set(fasthttp.HeaderAllow, allowedMethods(ctx))
 	}
 	response.SetBodyRaw(body)
 }
 
+// allowedMethods returns the methods to name in a 405. Routes forward others
+// too, but no caller that sent CONNECT or TRACE needs them.
+func allowedMethods(ctx *fasthttp.RequestCtx) string {
+	if string(requestPath(&ctx.Request.Header)) == entryHostsPath {
+		return "GET, HEAD"
+	}
+	return "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"
+}
+
 // retryAfter returns whole seconds, rounded up.
 func retryAfter(d time.Duration) string {
 	if d <= 0 {
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -23,7 +23,7 @@
 // upstream or keeps its token.
 func TestRefusals(t *testing.T) {
 	ran := false
-	h := newHarness(t, func(*fasthttp.RequestCtx) { ran = true }, func(c *Config) { c.ReadTimeout = 200 * time.Millisecond })
+	h := newHarness(t, func(*fasthttp.RequestCtx) { ran = true }, nil)
 	other := "Authorization: Bearer " + keys.Generate().Reveal() + "\r\n"
 	post := func(headers string) string { return "POST /orders HTTP/1.1\r\nHost: g\r\n" + headers + "\r\n" }
 	own := "Authorization: Bearer " + h.key.Reveal() + "\r\n"
@@ -49,8 +49,6 @@
 		{"chunked body", "POST /open HTTP/1.1\r\nHost: g\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("a", 1001) + "\r\n0\r\n\r\n", problem.KindBodyTooLarge, nil},
 		{"large body without key", "POST /reads HTTP/1.1\r\nHost: g\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("a", 99999), problem.KindKeyMissing, nil},
 		{"header", "GET /open HTTP/1.1\r\nHost: g\r\nA: " + strings.Repeat("a", MaxHeaderBytes) + "\r\n\r\n", problem.KindHeadersTooLarge, nil},
-		{"slow header", "GET /open HTTP/1.1\r\nHost", problem.KindRequestTimeout, nil},
-		{"slow body", "POST /open HTTP/1.1\r\nHost: g\r\nContent-Length: 5\r\n\r\nab", problem.KindRequestTimeout, nil},
 		{"no HTTP", "hello\r\n\r\n", problem.KindMalformed, nil},
 		{"timeout header", "GET /open HTTP/1.1\r\nHost: g\r\nX-Request-Timeout: soon\r\n\r\n", problem.KindMalformed, nil},
 		{"key in path", "GET /open/" + h.key.Reveal() + " HTTP/1.1\r\nHost: g\r\n\r\n", problem.KindMalformed, nil},
@@ -85,6 +83,14 @@
 	require.Equal(t, []string{"release", "release"}, h.claims.endings())
 }
 
+// Guards against callers that hold a connection by sending slowly.
+func TestSlowRequestsTimeOut(t *testing.T) {
+	h := newHarness(t, echo, func(c *Config) { c.ReadTimeout = 50 * time.Millisecond })
+	for _, request := range []string{"GET /open HTTP/1.1\r\nHost", "POST /open HTTP/1.1\r\nHost: g\r\nContent-Length: 5\r\n\r\nab"} {
+		requireProblem(t, h.raw(t, request), problem.KindRequestTimeout, problem.OutcomeNotRun)
+	}
+}
+
 // Guards against requests that this host and another program divide differently,
 // and against paths that an upstream resolves to another route.
 func TestSmugglingIsRefused(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -149,6 +149,9 @@
 
 // headerReceived bounds the body of a request by its route.
 func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if length := header.ContentLength(); length <= 0 && length != chunkedBody {
+		return fasthttp.RequestConfig{}
+	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodyLimit(header))}
 }
 
