--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -55,7 +55,7 @@
 	pool    *pool
 	prober  *prober
 	budget  *budget
-	gate    *gate
+	gate    gate
 	flights flights
 	buffers buffers
 	metrics *counters
@@ -73,7 +73,6 @@
 		pool:             p,
 		prober:           newProber(p),
 		budget:           newBudget(),
-		gate:             newGate(),
 		metrics:          newCounters(config.Registry),
 	}
 	if d.maxResponseBytes <= 0 {
@@ -214,9 +213,6 @@
 		mayRetry: number < MaxRetries && !a.request.atMostOnce(),
 		response: a.response,
 	}
-	flight := a.d.flights.of(target.Name)
-	flight.enter(a.request.Fingerprint)
-	defer flight.leave(a.request.Fingerprint)
 	a.d.metrics.attempts.Inc(1)
 
 	out = e.run(a.header, a.body)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -95,10 +95,9 @@
 	head := e.d.buffers.get()
 	defer e.d.buffers.put(head)
 	head.B = header.AppendBytes(head.B[:0])
-	buffers := net.Buffers{head.B, body}
 	if len(body) <= joinedBody {
 		head.B = append(head.B, body...)
-		buffers = net.Buffers{head.B}
+		body = nil
 	}
 
 	if err := e.ctx.Err(); err != nil {
@@ -108,7 +107,10 @@
 	if err := e.request.LastCheck(); err != nil {
 		return outcome{result: traffic.ResultUnused, refused: err}
 	}
-	if err := e.write(c, buffers); err != nil {
+	flight := e.d.flights.of(e.target.Name)
+	flight.enter(e.request.Fingerprint)
+	defer flight.leave(e.request.Fingerprint)
+	if err := e.write(c, head.B, body); err != nil {
 		return e.writeFailed(c, err)
 	}
 	h, err := e.read(c)
@@ -120,11 +122,19 @@
 
 // write writes the request. If it returns an error and wrote is false, no byte
 // reached the connection.
-func (e *exchange) write(c *connection, buffers net.Buffers) error {
+func (e *exchange) write(c *connection, head, body []byte) (err error) {
 	before := e.request.written.Swap(true)
 	e.wrote = true
 	e.started = time.Now()
-	n, err := buffers.WriteTo(c.Conn)
+	var n int64
+	if body == nil {
+		var written int
+		written, err = c.Write(head)
+		n = int64(written)
+	} else {
+		buffers := net.Buffers{head, body}
+		n, err = buffers.WriteTo(c.Conn)
+	}
 	if err != nil && n == 0 {
 		e.wrote = false
 		e.request.written.Store(before)
@@ -198,10 +208,11 @@
 }
 
 // awaitFirstByte waits for the response to begin. When the route's bound has
-// passed it probes the upstream with a new connection. If that works the
-// connection is silent or the request slow: an idempotent request is tried
-// again, any other keeps waiting, because its answer is worth more than an
-// early "unknown".
+// passed on a connection that was used before, it probes the upstream with a new
+// one; if that works the connection is taken to be silent. On a new connection
+// the upstream itself is slow, whatever it answers to a probe. An idempotent
+// request is tried again, any other keeps waiting, because its answer is worth
+// more than an early "unknown".
 func (e *exchange) awaitFirstByte(c *connection) error {
 	bound := e.request.Route.FirstByteTimeout()
 	until := time.Now().Add(bound)
@@ -220,7 +231,7 @@
 		return e.restoreDeadline(c, err)
 	}
 	e.retire = true
-	e.silent = e.d.prober.probe(e.target.Address) == probeWorks
+	e.silent = c.reused && e.d.prober.probe(e.target.Address) == probeWorks
 	if e.silent {
 		e.d.metrics.silent.Inc(1)
 		e.d.pool.distrust(e.target.Address)
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -15,7 +15,7 @@
 // and this host may have understood differently. The codec has accepted them
 // already, so the connection must be closed after the refusal.
 func checkFraming(header *fasthttp.RequestHeader) error {
-	lengths, encodings := 0, 0
+	lengths, encodings, hosts := 0, 0, 0
 	raw := header.RawHeaders()
 	for len(raw) > 0 {
 		line, rest, found := bytes.Cut(raw, []byte("\r\n"))
@@ -33,6 +33,8 @@
 		switch {
 		case strings.EqualFold(string(name), fasthttp.HeaderContentLength):
 			lengths++
+		case strings.EqualFold(string(name), fasthttp.HeaderHost):
+			hosts++
 		case strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
 			encodings++
 			if !strings.EqualFold(string(value), "chunked") {
@@ -43,6 +45,9 @@
 	if lengths > 1 || encodings > 1 || lengths+encodings > 1 {
 		return malformed("the request has more than one framing header")
 	}
+	if hosts > 1 || hosts == 0 && header.IsHTTP11() {
+		return malformed("the request does not have one Host header")
+	}
 	if !header.IsHTTP11() && encodings > 0 {
 		return malformed("an HTTP/1.0 request has a transfer encoding")
 	}
@@ -78,22 +83,26 @@
 	if len(raw) == 0 || raw[0] != '/' {
 		return "", malformed("the request target is not a path")
 	}
-	decoded, err := url.PathUnescape(string(raw))
-	if err != nil {
-		return "", malformed("the path has an invalid escape")
-	}
-	if strings.Count(decoded, "/") != bytes.Count(raw, []byte("/")) {
-		return "", malformed("the path has an encoded slash")
+	decoded := string(raw)
+	if strings.IndexByte(decoded, '%') >= 0 {
+		var err error
+		if decoded, err = url.PathUnescape(decoded); err != nil {
+			return "", malformed("the path has an invalid escape")
+		}
+		if strings.Count(decoded, "/") != bytes.Count(raw, []byte("/")) {
+			return "", malformed("the path has an encoded slash")
+		}
 	}
 	for i := range len(decoded) {
 		if decoded[i] < ' ' || decoded[i] == 0x7f || decoded[i] == '\\' {
 			return "", malformed("the path holds a character that is not allowed")
 		}
 	}
-	segments := strings.Split(decoded[1:], "/")
-	for i, segment := range segments {
+	for rest, more := decoded[1:], true; more; {
+		var segment string
+		segment, rest, more = strings.Cut(rest, "/")
 		name, _, _ := strings.Cut(segment, ";")
-		if name == "." || name == ".." || name == "" && i < len(segments)-1 {
+		if name == "." || name == ".." || name == "" && more {
 			return "", malformed("the path has a dot segment or an empty one")
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -149,9 +149,15 @@
 
 // headerReceived bounds the body of a request by its route.
 func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if length := header.ContentLength(); length <= 0 && length != chunkedBody {
+		return fasthttp.RequestConfig{}
+	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodyLimit(header))}
 }
 
+// chunkedBody is what the codec gives as the length of a chunked body.
+const chunkedBody = -1
+
 func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) int {
 	snapshot := g.Snapshot()
 	if snapshot == nil {
@@ -166,6 +172,9 @@
 		return unauthenticatedBodyBytes
 	}
 	limit := min(route.MaxBodyBytes, MaxBodyBytes)
+	if length := header.ContentLength(); length != chunkedBody && length <= unauthenticatedBodyBytes {
+		return limit
+	}
 	if _, err := g.authenticate(snapshot, route, header); err != nil {
 		return min(limit, unauthenticatedBodyBytes)
 	}
