--- /dev/null
+++ b/operations/rig_test.go
@@ -0,0 +1,334 @@
+package operations
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/faulttest"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/membership"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// testLease is the lease duration of all scenarios.
+const testLease = membership.MinLeaseDuration
+
+// process is one incarnation: the real membership and a machine under test in
+// one machine, as the control loop composes them.
+type process struct {
+	cell       *cell
+	node       *faulttest.Node
+	membership *membership.Membership
+	operations machine.Machine
+	until      machine.Instant
+	retired    bool
+	left       bool
+	attempts   uint64
+	waiting    map[uint64]*call
+}
+
+// Step applies an input to the two machines and passes on what one of them has
+// for the other. Store calls of membership get even ids.
+func (p *process) Step(now machine.Now, in machine.Input) []machine.Output {
+	var out []machine.Output
+	switch in := in.(type) {
+	case machine.Tick:
+		out = p.stepMembership(now, in)
+		return append(out, p.stepOperations(now, in)...)
+	case machine.Received:
+		if in.Message.MessageNumber() < 200 {
+			return p.stepMembership(now, in)
+		}
+		return p.stepOperations(now, in)
+	case machine.StoreResult:
+		odd := in.ID%2 == 1
+		in.ID /= 2
+		if odd {
+			return p.stepOperations(now, in)
+		}
+		return p.stepMembership(now, in)
+	case membership.Leave:
+		return p.stepMembership(now, in)
+	default:
+		return p.stepOperations(now, in)
+	}
+}
+
+func (p *process) stepMembership(now machine.Now, in machine.Input) []machine.Output {
+	var out []machine.Output
+	for _, o := range p.membership.Step(now, in) {
+		switch o := o.(type) {
+		case machine.StoreCall:
+			o.ID *= 2
+			out = append(out, o)
+		case membership.ViewPublished:
+			out = append(out, p.stepOperations(now, machine.ViewChanged{View: o.View})...)
+		case membership.LeaseRenewed:
+			p.until = o.ValidUntil
+			out = append(out, p.stepOperations(now, machine.LeaseChanged{ValidUntil: o.ValidUntil})...)
+		case membership.UncommittedAcknowledged:
+			out = append(out, p.stepOperations(now, UncommittedAcknowledged{Since: o.Since})...)
+		default:
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (p *process) stepOperations(now machine.Now, in machine.Input) []machine.Output {
+	var out []machine.Output
+	for _, o := range p.operations.Step(now, in) {
+		switch o := o.(type) {
+		case machine.StoreCall:
+			o.ID = 2*o.ID + 1
+			out = append(out, o)
+		case DeclareUncommitted:
+			p.cell.declared = true
+			out = append(out, p.stepMembership(now, membership.SetUncommitted{Since: o.Since})...)
+		case ClearUncommitted:
+			out = append(out, p.stepMembership(now, membership.ClearUncommitted{})...)
+		default:
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// valid is the check at the last moment before an upstream is written to.
+func (p *process) valid() bool {
+	return !p.retired && p.node.Time().Instant < p.until
+}
+
+// call is a request of a caller at one host.
+type call struct {
+	host     *process
+	id       traffic.OperationID
+	attempt  uint64
+	started  machine.Instant
+	ended    machine.Instant
+	decision Decision
+	result   string
+	executed bool
+	released bool
+	waited   bool
+	then     func(c *call)
+}
+
+// cell is a cell of hosts over three regions with a model upstream.
+type cell struct {
+	rig        *faulttest.Rig
+	build      func(self fleet.Member) machine.Machine
+	hosts      []fleet.HostID
+	running    map[fleet.HostID]*process
+	all        []*process
+	calls      []*call
+	executions map[traffic.OperationID][]*call
+	violations []string
+	play       func(c *cell)
+	faulty     func(c *cell)
+	// runFor is the time that the model upstream takes.
+	runFor time.Duration
+	// ending chooses how the n-th execution ends.
+	ending func(n int) Ending
+	// declared, died and lost say what explains an unknown outcome.
+	declared bool
+	died     bool
+	gone     map[fleet.HostID]bool
+}
+
+var cellRegions = []fleet.Region{"ostland", "vestland", "nordland"}
+
+func newCell(seed uint64, hosts int, build func(self fleet.Member) machine.Machine) *cell {
+	c := &cell{
+		rig:        faulttest.New(seed),
+		build:      build,
+		running:    map[fleet.HostID]*process{},
+		executions: map[traffic.OperationID][]*call{},
+		gone:       map[fleet.HostID]bool{},
+		runFor:     20 * time.Millisecond,
+		ending:     func(int) Ending { return EndingComplete },
+	}
+	c.rig.OnOutput = c.output
+	for i := range hosts {
+		c.hosts = append(c.hosts, fleet.HostID(fmt.Sprintf("host-%02d", i)))
+	}
+	return c
+}
+
+func (c *cell) Rig() *faulttest.Rig { return c.rig }
+
+func (c *cell) Run() { c.play(c) }
+
+func (c *cell) start(id fleet.HostID) *process {
+	member := fleet.Member{Host: id, Incarnation: c.rig.Incarnation()}
+	index := 0
+	for i, host := range c.hosts {
+		if host == id {
+			index = i
+		}
+	}
+	region := cellRegions[index%len(cellRegions)]
+	p := &process{cell: c, operations: c.build(member), waiting: map[uint64]*call{}}
+	p.membership = membership.New(membership.Options{
+		Self:          member,
+		Location:      fleet.Location{Region: region, FailureDomain: fleet.FailureDomain(region + "-1")},
+		Cell:          "a",
+		LeaseDuration: testLease,
+		LeaveDelay:    testLease / 4,
+		Rand:          rand.New(rand.NewPCG(c.rig.Rand.Uint64(), 1)),
+	})
+	p.node = c.rig.AddNode(member, p)
+	c.running[id] = p
+	c.all = append(c.all, p)
+	return p
+}
+
+func (c *cell) startAll() {
+	for _, id := range c.hosts {
+		c.start(id)
+	}
+}
+
+// kill stops a host for good.
+func (c *cell) kill(id fleet.HostID) {
+	c.died = true
+	c.gone[id] = true
+	c.running[id].node.Kill()
+}
+
+// replace starts a new incarnation in place of one that is killed.
+func (c *cell) replace(id fleet.HostID) {
+	c.died = true
+	delete(c.gone, id)
+	c.running[id].node.Kill()
+	c.start(id)
+}
+
+func (c *cell) output(n *faulttest.Node, out machine.Output) {
+	var p *process
+	for _, other := range c.all {
+		if other.node == n {
+			p = other
+		}
+	}
+	switch out := out.(type) {
+	case Decided:
+		p.decided(out)
+	case membership.Retired:
+		c.died = true
+		p.retired = true
+		if c.running[n.Member.Host] == p {
+			c.rig.After(50*time.Millisecond, func() { c.replace(n.Member.Host) })
+		}
+	case membership.Left:
+		p.left = true
+		c.died = true
+		c.gone[n.Member.Host] = true
+		c.rig.After(10*time.Millisecond, n.Kill)
+	}
+}
+
+// call sends a request for an operation to a host. then runs when it ended.
+func (c *cell) call(host fleet.HostID, key string, wait time.Duration, then func(c *call)) *call {
+	p := c.running[host]
+	p.attempts++
+	k := &call{host: p, id: operation(key), attempt: p.attempts, started: c.rig.Now(), then: then}
+	c.calls = append(c.calls, k)
+	p.waiting[k.attempt] = k
+	c.rig.Logf("caller asks %s for %s (attempt %d)", host, key, k.attempt)
+	c.rig.Inject(p.node, Begin{Attempt: k.attempt, ID: k.id, Fingerprint: 7, Wait: wait})
+	return k
+}
+
+func operation(key string) traffic.OperationID {
+	return traffic.OperationID{Customer: "c", Key: key}
+}
+
+func (p *process) decided(d Decided) {
+	k := p.waiting[d.Attempt]
+	if k == nil {
+		return
+	}
+	switch d.Decision {
+	case DecisionWaiting:
+		k.waited = true
+	case DecisionGranted:
+		p.cell.onHost(p, p.cell.runFor, func() { p.run(k) })
+	case DecisionRan:
+		p.end(k, d.Decision, string(d.Result.Body))
+	default:
+		p.end(k, d.Decision, "")
+	}
+}
+
+// onHost calls f after d, or once the process runs again.
+func (c *cell) onHost(p *process, d time.Duration, f func()) {
+	c.rig.After(d, func() {
+		switch {
+		case p.node.Killed():
+		case !p.node.Running():
+			c.onHost(p, 50*time.Millisecond, f)
+		default:
+			f()
+		}
+	})
+}
+
+// run executes a granted operation at the model upstream.
+func (p *process) run(k *call) {
+	if p.waiting[k.attempt] != k {
+		return
+	}
+	c := p.cell
+	if !p.valid() {
+		p.finish(k, Finish{Attempt: k.attempt, Ending: EndingRelease}, DecisionUnavailable, "")
+		return
+	}
+	n := 0
+	for _, executed := range c.executions {
+		n += len(executed)
+	}
+	ending := c.ending(n)
+	if ending == EndingRelease {
+		k.released = true
+		p.finish(k, Finish{Attempt: k.attempt, Ending: ending}, DecisionUnavailable, "")
+		return
+	}
+	k.executed = true
+	c.executions[k.id] = append(c.executions[k.id], k)
+	c.rig.Logf("upstream runs %s for %s (attempt %d)", k.id.Key, p.node.Member.Host, k.attempt)
+	result := fmt.Sprintf("%s@%d", k.id.Key, n)
+	c.onHost(p, c.runFor, func() {
+		if ending == EndingAbandon {
+			p.finish(k, Finish{Attempt: k.attempt, Ending: ending}, DecisionUnknown, "")
+			return
+		}
+		f := Finish{Attempt: k.attempt, Ending: EndingComplete, Result: traffic.OperationResult{Status: 200, Body: []byte(result)}}
+		p.finish(k, f, DecisionGranted, result)
+	})
+}
+
+// finish reports the end of an attempt and answers the caller.
+func (p *process) finish(k *call, f Finish, d Decision, result string) {
+	p.cell.rig.Inject(p.node, f)
+	p.end(k, d, result)
+}
+
+func (p *process) end(k *call, d Decision, result string) {
+	delete(p.waiting, k.attempt)
+	k.decision = d
+	k.result = result
+	k.ended = p.cell.rig.Now()
+	p.cell.rig.Logf("caller of %s at %s gets %d %q", k.id.Key, p.node.Member.Host, d, result)
+	if k.then != nil {
+		k.then(k)
+	}
+}
+
+func (c *cell) violate(format string, args ...any) {
+	if len(c.violations) < 4 {
+		c.violations = append(c.violations, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/operations/table.go
@@ -0,0 +1,218 @@
+package operations
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// Bounds of the claims table of one owner.
+const (
+	// MaxIDs bounds the ids of one owner.
+	MaxIDs = 200_000
+	// MaxResultBytes bounds the bodies that are kept for repeats. The bodies of
+	// the oldest results are dropped first.
+	MaxResultBytes = 16 << 20
+	// maxWaiters bounds the requests that wait for a running attempt, and
+	// maxWaitersPerID those of one id.
+	maxWaiters      = 4096
+	maxWaitersPerID = 64
+	// expirySlot is the time range of claims that are forgotten together.
+	expirySlot = 10 * time.Minute
+)
+
+// entry is what an owner knows of one id.
+type entry struct {
+	record
+	partition uint8
+	// granted is true once the holder was told that it may run.
+	granted bool
+	// durable is true if the log holds the entry as it is.
+	durable bool
+	// queued is true while the entry waits for a batch.
+	queued bool
+	// fresh is true if this owner accepted the claim, rather than an earlier one.
+	fresh bool
+	// change counts the states of the entry.
+	change uint32
+	// segment is the number of the log segment with the last record, plus 1.
+	segment uint64
+	waiters []waiter
+	// reporter is the attempt whose report is acknowledged when it is durable.
+	reporter *reporter
+}
+
+type waiter struct {
+	from        fleet.Member
+	attempt     uint64
+	fingerprint uint64
+	until       machine.Instant
+}
+
+type reporter struct {
+	from    fleet.Member
+	attempt uint64
+}
+
+// table holds the entries of all partitions of an owner.
+type table struct {
+	limit       int
+	resultLimit int
+	entries     map[traffic.OperationID]*entry
+	slots       map[int64][]*entry
+	oldest      int64
+	results     []*entry
+	resultBytes int
+	waiting     map[*entry]struct{}
+	waiters     int
+}
+
+func newTable(limit, resultLimit int) *table {
+	return &table{
+		limit:       limit,
+		resultLimit: resultLimit,
+		entries:     map[traffic.OperationID]*entry{},
+		slots:       map[int64][]*entry{},
+		waiting:     map[*entry]struct{}{},
+	}
+}
+
+func (t *table) full() bool { return len(t.entries) >= t.limit }
+
+// add stores a record of a partition as a new entry, in place of an older one.
+func (t *table) add(r record, partition int) *entry {
+	if old := t.entries[r.ID]; old != nil {
+		t.remove(old)
+	}
+	e := &entry{record: r, partition: uint8(partition)}
+	t.entries[r.ID] = e
+	t.schedule(e)
+	t.countResult(e)
+	return e
+}
+
+// schedule notes when the entry may be forgotten.
+func (t *table) schedule(e *entry) {
+	slot := e.ClaimedMillis / expirySlot.Milliseconds()
+	if len(t.slots) == 0 || slot < t.oldest {
+		t.oldest = slot
+	}
+	t.slots[slot] = append(t.slots[slot], e)
+}
+
+// countResult adds the result of an entry to the bound and drops the oldest
+// bodies above it.
+func (t *table) countResult(e *entry) {
+	if e.Result == nil || len(e.Result.Body) == 0 {
+		return
+	}
+	t.results = append(t.results, e)
+	t.resultBytes += len(e.Result.Body)
+	for t.resultBytes > t.resultLimit && len(t.results) > 0 {
+		oldest := t.results[0]
+		t.results = t.results[1:]
+		t.dropBody(oldest)
+	}
+}
+
+func (t *table) dropBody(e *entry) {
+	if e.Result == nil || len(e.Result.Body) == 0 {
+		return
+	}
+	t.resultBytes -= len(e.Result.Body)
+	dropped := *e.Result
+	dropped.Body = nil
+	dropped.BodyDropped = true
+	e.Result = &dropped
+}
+
+// remove forgets an entry.
+func (t *table) remove(e *entry) {
+	if t.entries[e.ID] != e {
+		return
+	}
+	delete(t.entries, e.ID)
+	t.clearWaiters(e)
+	t.dropBody(e)
+}
+
+// expire forgets the claims that are older than the retention. An id that was
+// claimed anew after a release moves to the time of its last claim.
+func (t *table) expire(wallMillis int64) {
+	limit := (wallMillis - (retention + retentionMargin).Milliseconds()) / expirySlot.Milliseconds()
+	if len(t.slots) == 0 || t.oldest >= limit {
+		return
+	}
+	for slot, entries := range t.slots {
+		if slot >= limit {
+			continue
+		}
+		delete(t.slots, slot)
+		for _, e := range entries {
+			if t.entries[e.ID] != e {
+				continue
+			}
+			if e.isExpired(wallMillis) {
+				t.remove(e)
+				continue
+			}
+			t.schedule(e)
+		}
+	}
+	t.oldest = limit
+}
+
+// isExpired reports whether a record is past the retention.
+func (r *record) isExpired(wallMillis int64) bool {
+	return r.ClaimedMillis < wallMillis-(retention+retentionMargin).Milliseconds()
+}
+
+// wait adds a request that waits for the running attempt, in place of an
+// earlier one of the same attempt. It reports false if there is no room.
+func (t *table) wait(e *entry, w waiter) bool {
+	for i := range e.waiters {
+		if e.waiters[i].from == w.from && e.waiters[i].attempt == w.attempt {
+			e.waiters[i] = w
+			return true
+		}
+	}
+	if t.waiters >= maxWaiters || len(e.waiters) >= maxWaitersPerID {
+		return false
+	}
+	e.waiters = append(e.waiters, w)
+	t.waiters++
+	t.waiting[e] = struct{}{}
+	return true
+}
+
+// stopWaiting removes the requests for which the condition holds and returns
+// them in their order.
+func (t *table) stopWaiting(e *entry, condition func(w waiter) bool) []waiter {
+	var stopped, rest []waiter
+	for _, w := range e.waiters {
+		if condition(w) {
+			stopped = append(stopped, w)
+			continue
+		}
+		rest = append(rest, w)
+	}
+	e.waiters = rest
+	t.waiters -= len(stopped)
+	if len(rest) == 0 {
+		e.waiters = nil
+		delete(t.waiting, e)
+	}
+	return stopped
+}
+
+func (t *table) clearWaiters(e *entry) []waiter {
+	return t.stopWaiting(e, func(waiter) bool { return true })
+}
+
+func sortedEntries(entries []*entry) []*entry {
+	slices.SortFunc(entries, compareEntries)
+	return entries
+}
