--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,11 +17,12 @@
 	"github.com/catkinspring/catkinspring/internal/standin/upstream"
 )
 
-// commandLine lists the subcommands. The demo of package internal/demo is added
-// here as a third one.
+// commandLine lists the subcommands.
 type commandLine struct {
 	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform: object store and host list."`
 	Upstream upstreamCommand `cmd:"" help:"Run stand-ins of upstreams, one listener each."`
+	Load     loadCommand     `cmd:"" help:"Send the load of a scenario to entry hosts."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole fleet, drive requests through it while parts of it fail, and check its promises."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/catkinspring/catkinspring/fleet"
+)
+
+// The range of the histograms, in microseconds, and their precision.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits  = 3
+)
+
+// Summary sums up the requests of one customer.
+type Summary struct {
+	Customer fleet.Customer
+	Verdicts map[Verdict]int
+	// Latency holds microseconds from the intended start of answered requests.
+	Latency *hdrhistogram.Histogram
+	// Repeats counts the attempts after the first one of each request.
+	Repeats int
+}
+
+// Sent returns the number of requests.
+func (s *Summary) Sent() int {
+	n := 0
+	for _, count := range s.Verdicts {
+		n += count
+	}
+	return n
+}
+
+// Quantile returns a latency of answered requests; percent is 0 to 100.
+func (s *Summary) Quantile(percent float64) time.Duration {
+	return time.Duration(s.Latency.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+func (s *Summary) add(r *Record) {
+	s.Verdicts[r.Verdict]++
+	s.Repeats += max(0, len(r.Attempts)-1)
+	if r.Verdict == Answered {
+		// Requests are bounded in time, so the value is in range.
+		_ = s.Latency.RecordValue(max(lowestLatency, min(highestLatency, r.Latency().Microseconds())))
+	}
+}
+
+// Summaries returns one summary per customer, sorted by name.
+func (r *Result) Summaries() []*Summary {
+	byCustomer := map[fleet.Customer]*Summary{}
+	var list []*Summary
+	for i := range r.Records {
+		record := &r.Records[i]
+		s := byCustomer[record.Customer]
+		if s == nil {
+			s = &Summary{
+				Customer: record.Customer,
+				Verdicts: map[Verdict]int{},
+				Latency:  hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+			}
+			byCustomer[record.Customer] = s
+			list = append(list, s)
+		}
+		s.add(record)
+	}
+	slices.SortFunc(list, func(a, b *Summary) int {
+		if a.Customer < b.Customer {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// WriteTable writes one line per customer.
+func (r *Result) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "customer\tsent\tanswered\trefused\tunknown\twrong\tnot sent\trepeats\tp50\tp99\tp99.9\t")
+	for _, s := range r.Summaries() {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", s.Customer, s.Sent(),
+			s.Verdicts[Answered], s.Verdicts[RefusedNotRun], s.Verdicts[Unknown], s.Verdicts[Wrong], s.Verdicts[NotSent],
+			s.Repeats, shown(s.Quantile(50)), shown(s.Quantile(99)), shown(s.Quantile(99.9)))
+	}
+	return eris.Wrap(table.Flush(), "load table")
+}
+
+func shown(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
+
+// WriteRecords writes one JSON object per request.
+func (r *Result) WriteRecords(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	for i := range r.Records {
+		if err := encoder.Encode(&r.Records[i]); err != nil {
+			return eris.Wrap(err, "request records")
+		}
+	}
+	return nil
+}
