--- a/internal/demo/admission.go
+++ b/internal/demo/admission.go
@@ -71,8 +71,9 @@
 	first := map[string]*upstream.Run{}
 	for i := range e.upstreams.Runs {
 		run := &e.upstreams.Runs[i]
-		if known := first[run.RequestID]; known == nil || run.Start.Before(known.Start) {
-			first[run.RequestID] = run
+		id := load.BaseID(run.RequestID)
+		if known := first[id]; known == nil || run.Start.Before(known.Start) {
+			first[id] = run
 		}
 	}
 	spans := map[fleet.Customer][]span{}
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -55,7 +55,7 @@
 		run := &e.upstreams.Runs[i]
 		e.byTarget[run.Target] = append(e.byTarget[run.Target], run)
 		if run.RequestID != "" {
-			e.byRequest[run.RequestID] = run
+			e.byRequest[load.BaseID(run.RequestID)] = run
 		}
 		if run.IdempotencyKey != "" {
 			e.byOperation[run.IdempotencyKey] = append(e.byOperation[run.IdempotencyKey], run)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,8 +1,10 @@
 package demo
 
 import (
+	"bytes"
 	"context"
 	_ "embed"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -223,6 +225,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if err := f.keepRecords(result, side); err != nil {
+		return nil, nil, err
+	}
 	return &evidence{
 		facts: d.facts, plan: p, customers: f.Customers, records: result.Records, upstreams: side,
 		drainedAdmin: f.Admin(p.drained), decreases: watch.decreases,
@@ -240,3 +245,22 @@
 	})
 	return side, err
 }
+
+// keepRecords writes both sides to the directory of the run, for whoever looks
+// for the cause of a broken promise.
+func (f *Fleet) keepRecords(result *load.Result, side *UpstreamSide) error {
+	var requests, runs bytes.Buffer
+	if err := result.WriteRecords(&requests); err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(&runs)
+	for i := range side.Runs {
+		if err := encoder.Encode(&side.Runs[i]); err != nil {
+			return eris.Wrap(err, "runs")
+		}
+	}
+	if err := os.WriteFile(f.path("requests.jsonl"), requests.Bytes(), secretMode); err != nil {
+		return eris.Wrap(err, "requests")
+	}
+	return eris.Wrap(os.WriteFile(f.path("runs.jsonl"), runs.Bytes(), secretMode), "runs")
+}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// BaseID returns the request id that a caller sees. An entry host appends a
+// number, separated by a dot, when it tries a request again at another upstream.
+func BaseID(id string) string {
+	base, _, _ := strings.Cut(id, ".")
+	return base
+}
+
 // mismatch says in what a body is not the stand-in's answer to this request;
 // empty if it is. A replayed answer carries the id of the attempt that ran.
 func (s *sender) mismatch(a *Attempt, body []byte) string {
@@ -165,8 +172,8 @@
 	switch {
 	case !decodeJSON(body, &answer):
 		return "body is not complete JSON"
-	case !a.Replayed && answer.RequestID != a.RequestID:
-		return "request id"
+	case !a.Replayed && BaseID(answer.RequestID) != a.RequestID:
+		return "request id " + answer.RequestID
 	case answer.IdempotencyKey != s.record.OperationKey:
 		return "idempotency key"
 	case answer.Target != s.record.Target:
