--- a/internal/demo/admission.go
+++ b/internal/demo/admission.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/internal/load"
 	"github.com/catkinspring/catkinspring/internal/standin/upstream"
+	"github.com/catkinspring/catkinspring/problem"
 )
 
 // span is the time within which a request was admitted: after its caller sent it
@@ -33,7 +37,10 @@
 func (e *evidence) overAdmission() []finding {
 	var rows []finding
 	for _, a := range e.admissions() {
-		f := finding{name: "over-admission " + string(a.customer.ID)}
+		f := finding{
+			name: "over-admission " + string(a.customer.ID),
+			note: fmt.Sprintf("%d admitted; rate %.0f/s, burst %.0f", a.runs, a.customer.Rate, a.customer.Burst),
+		}
 		if a.starts > 0 || a.proven > 0 {
 			f.count = max(1, int(max(a.starts, a.proven)+0.5))
 			f.examples = []string{excessText(a)}
@@ -125,3 +132,38 @@
 	}
 	return highest
 }
+
+// wrongfulRefusals counts the requests whose first attempt was refused by rate
+// although one central bucket, full at the start, would have admitted it, and
+// all first attempts that it would have admitted. Other refusals take no token,
+// because nothing ran.
+func (e *evidence) wrongfulRefusals() (wrongful, admitted int) {
+	attempts := map[fleet.Customer][]*load.Attempt{}
+	for i := range e.records {
+		r := &e.records[i]
+		if r.Keyed && len(r.Attempts) > 0 && r.Attempts[0].Failure == load.FailureNone {
+			attempts[r.Customer] = append(attempts[r.Customer], &r.Attempts[0])
+		}
+	}
+	for _, c := range e.customers {
+		list := attempts[c.ID]
+		slices.SortFunc(list, func(a, b *load.Attempt) int { return a.Start.Compare(b.Start) })
+		level, at := c.Burst, time.Time{}
+		for _, a := range list {
+			if !at.IsZero() {
+				level = min(c.Burst, level+c.Rate*a.Start.Sub(at).Seconds())
+			}
+			at = a.Start
+			limited := a.Status == fasthttp.StatusTooManyRequests
+			if level < 1 || !limited && a.Outcome == problem.OutcomeNotRun {
+				continue
+			}
+			level--
+			admitted++
+			if limited {
+				wrongful++
+			}
+		}
+	}
+	return wrongful, admitted
+}
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -14,15 +14,17 @@
 
 // finding is one row of the table.
 type finding struct {
-	name string
-	// limit is the highest count that keeps the promise; negative if the row
-	// states a fact and no promise.
-	count    int
-	limit    int
+	name  string
+	count int
+	// fact is true if the row states a figure and no promise. A promise is kept
+	// if its count is 0.
+	fact bool
+	// note explains the figure.
+	note     string
 	examples []string
 }
 
-func (f *finding) broken() bool { return f.limit >= 0 && f.count > f.limit }
+func (f *finding) broken() bool { return !f.fact && f.count > 0 }
 
 func (f *finding) add(format string, args ...any) {
 	f.count++
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -195,6 +195,9 @@
 
 // drive runs the load together with the events of a plan and gathers evidence.
 func (f *Fleet) drive(ctx context.Context, scenario *load.Scenario, p plan, say func(string, ...any)) (*evidence, *load.Result, error) {
+	// The events end with the traffic if it fails early.
+	directed, endEvents := context.WithCancel(ctx)
+	defer endEvents()
 	watched, endWatch := context.WithCancel(ctx)
 	watch := &revisionWatch{}
 	var group sync.WaitGroup
@@ -207,13 +210,16 @@
 	var eventErr error
 	go func() {
 		defer group.Done()
-		eventErr = d.run(ctx, time.Now())
+		eventErr = d.run(directed, time.Now())
 	}()
 	result, err := load.Run(ctx, scenario)
 	if err == nil {
 		err = ctx.Err()
 	}
 	endWatch()
+	if err != nil {
+		endEvents()
+	}
 	group.Wait()
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "traffic")
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -15,8 +15,7 @@
 )
 
 func excessText(a admission) string {
-	return fmt.Sprintf("rate %.0f/s, burst %.0f: run starts exceed them by %.1f, certain admissions by %.1f",
-		a.customer.Rate, a.customer.Burst, a.starts, a.proven)
+	return fmt.Sprintf("run starts exceed rate and burst by %.1f, certain admissions by %.1f", a.starts, a.proven)
 }
 
 // BrokenError reports promises that a run broke.
@@ -34,7 +33,7 @@
 	rows := e.promises()
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, row := range append(e.counts(result), rows...) {
-		fmt.Fprintf(table, "%s\t%d\t%s\n", row.name, row.count, row.verdict())
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\n", row.name, row.count, row.verdict(), row.note)
 	}
 	if err := table.Flush(); err != nil {
 		return eris.Wrap(err, "demo table")
@@ -57,8 +56,8 @@
 
 func (f *finding) verdict() string {
 	switch {
-	case f.limit < 0:
-		return strings.Join(f.examples, "; ")
+	case f.fact:
+		return ""
 	case f.broken():
 		return "BROKEN"
 	}
@@ -67,29 +66,37 @@
 
 // counts returns the rows that state facts.
 func (e *evidence) counts(result *load.Result) []finding {
-	verdicts := map[load.Verdict]int{}
+	verdicts, orders := map[load.Verdict]int{}, map[load.Verdict]int{}
 	refusals := map[string]int{}
 	for i := range e.records {
 		r := &e.records[i]
 		verdicts[r.Verdict]++
+		if r.OperationKey != "" {
+			orders[r.Verdict]++
+		}
 		if last := r.Last(); r.Verdict == load.RefusedNotRun && last != nil {
 			refusals[last.Reason()]++
 		}
 	}
-	fact := func(name string, count int, examples ...string) finding {
-		return finding{name: name, count: count, limit: -1, examples: examples}
+	fact := func(name string, count int, note string) finding {
+		return finding{name: name, count: count, note: note, fact: true}
+	}
+	split := func(v load.Verdict) string {
+		return fmt.Sprintf("%d at-most-once, %d reads", orders[v], verdicts[v]-orders[v])
 	}
 	failed, requests, resolved := e.killedFailures()
+	wrongful, asked := e.wrongfulRefusals()
 	l := result.Lookups
 	return []finding{
-		fact("sent", len(e.records)),
+		fact("sent", len(e.records), ""),
 		fact("look-ups", int(l.Asked), fmt.Sprintf("%d answered, %d refused, %d failed", l.Answered, l.Refused, l.Failed)),
-		fact("answered", verdicts[load.Answered]),
-		fact("refused not-run", verdicts[load.RefusedNotRun], countsText(refusals)),
-		fact("unknown", verdicts[load.Unknown]),
-		fact("not sent", verdicts[load.NotSent]),
-		fact("runs at upstreams", len(e.upstreams.Runs)),
-		fact("failed attempts at killed host", failed, fmt.Sprintf("%d requests, %d resolved by a repeat", requests, resolved)),
+		fact("answered", verdicts[load.Answered], split(load.Answered)),
+		fact("refused not-run", verdicts[load.RefusedNotRun], split(load.RefusedNotRun)+"; last refusal: "+countsText(refusals)),
+		fact("unknown", verdicts[load.Unknown], split(load.Unknown)),
+		fact("not sent", verdicts[load.NotSent], "the generator had too many requests under way"),
+		fact("runs at upstreams", len(e.upstreams.Runs), ""),
+		fact("failed attempts at killed host", failed, fmt.Sprintf("%d requests, %d of them resolved by a repeat", requests, resolved)),
+		fact("429 within rate and burst", wrongful, fmt.Sprintf("of %d first attempts that one central bucket would have admitted", asked)),
 	}
 }
 
