Wire at-most-once operations into the entry host

Cause: at-most-once routes were refused because no module granted claims. Change: operations is a module of the control loop; its client is the gateway's claimer; membership carries the announcement of uncommitted claims.

--- a/host/host.go
+++ b/host/host.go
@@ -22,17 +22,18 @@
 	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/operations"
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/placement"
 	"github.com/catkinspring/catkinspring/settings"
 	"github.com/catkinspring/catkinspring/store"
 	"github.com/catkinspring/catkinspring/timeline"
-	"github.com/catkinspring/catkinspring/traffic"
 )
 
 // pumpInterval is the time between two looks at queues whose upstreams may have
-// got room because estimates aged.
+// got room because estimates aged, and at claims whose endings found no room in
+// the inbox of the control loop.
 const pumpInterval = 20 * time.Millisecond
 
 // Options holds what the process passes to a Host.
@@ -64,6 +65,7 @@
 	limits     *limits.Table
 	placement  *placement.Table
 	quarantine *dispatch.Table
+	claims     *operations.Client
 	dispatcher *dispatch.Dispatcher
 	gateway    *gateway.Gateway
 	operators  *operator.Server
@@ -194,6 +196,7 @@
 		Post:                func(in machine.Input) bool { return h.loop.post(h.modules.placement, in) },
 		Registry:            h.registry,
 	})
+	h.claims = operations.NewClient(func(in machine.Input) bool { return h.loop.post(h.modules.operations, in) }, h.clock, &h.state, h.registry)
 	h.quarantine = &dispatch.Table{}
 	h.dispatcher = dispatch.New(dispatch.Config{
 		Placer:   h.placement,
@@ -218,7 +221,7 @@
 		Lease:          &h.state,
 		Clock:          h.clock,
 		Limiter:        h.limits,
-		Claimer:        h.claimer(),
+		Claimer:        h.claims,
 		Dispatcher:     h.active.count(h.dispatcher),
 		Quarantined:    h.quarantine.Quarantined,
 		KeySuspended:   h.state.keySuspended,
@@ -237,8 +240,6 @@
 	})
 }
 
-func (h *Host) claimer() traffic.Claimer { return unclaimable{} }
-
 // Run serves until the incarnation has left its cell, is retired, or stop is
 // cancelled. Cancelling drain starts a planned stop.
 func (h *Host) Run(stop, drain context.Context) error {
@@ -279,6 +280,7 @@
 			return
 		case <-ticker.C:
 			h.placement.Pump()
+			h.claims.Flush()
 		}
 	}
 }
--- a/host/modules.go
+++ b/host/modules.go
@@ -10,6 +10,7 @@
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
+	"github.com/catkinspring/catkinspring/operations"
 	"github.com/catkinspring/catkinspring/placement"
 )
 
@@ -20,6 +21,7 @@
 	limits        moduleID
 	placement     moduleID
 	quarantine    moduleID
+	operations    moduleID
 }
 
 func (h *Host) addModules() {
@@ -57,6 +59,11 @@
 		machine: dispatch.NewQuarantine(h.self, h.quarantine),
 		output:  ignoreOutput,
 	}, dispatch.Messages())
+	h.modules.operations = h.loop.add(module{
+		name:    "operations",
+		machine: operations.New(operations.Options{Self: h.self}),
+		output:  h.operationsOutput,
+	}, operations.Messages())
 }
 
 func ignoreOutput(machine.Now, machine.Output) {}
@@ -68,7 +75,8 @@
 	types = append(types, configuration.Messages()...)
 	types = append(types, limits.Messages()...)
 	types = append(types, placement.Messages()...)
-	return append(types, dispatch.Messages()...)
+	types = append(types, dispatch.Messages()...)
+	return append(types, operations.Messages()...)
 }
 
 // membershipOutput carries out the outputs of the membership. A view and a lease
@@ -89,6 +97,8 @@
 		}
 	case membership.ContactsChanged:
 		h.transport.SetPeers(out.Peers)
+	case membership.UncommittedAcknowledged:
+		h.loop.forward(h.modules.operations, operations.UncommittedAcknowledged{Since: out.Since})
 	case membership.Retired:
 		h.log.Warn().Msg("incarnation was retired by its cell")
 		h.endOnce(h.retired)
@@ -164,6 +174,17 @@
 	h.placement.SetShiftCaps(caps, weight)
 }
 
+func (h *Host) operationsOutput(_ machine.Now, out machine.Output) {
+	switch out := out.(type) {
+	case operations.Decided:
+		h.claims.Deliver(out)
+	case operations.DeclareUncommitted:
+		h.loop.forward(h.modules.membership, membership.SetUncommitted{Since: out.Since})
+	case operations.ClearUncommitted:
+		h.loop.forward(h.modules.membership, membership.ClearUncommitted{})
+	}
+}
+
 func (h *Host) placementOutput(_ machine.Now, out machine.Output) {
 	switch out := out.(type) {
 	case placement.UpstreamsChanged:
--- a/host/requests.go
+++ b/host/requests.go
@@ -10,8 +10,6 @@
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/gateway"
-	"github.com/catkinspring/catkinspring/problem"
-	"github.com/catkinspring/catkinspring/traffic"
 )
 
 // fullLoad is the number of running requests that counts as load 1.
@@ -45,14 +43,6 @@
 	return d.next.Dispatch(ctx, request, into)
 }
 
-// unclaimable refuses every at-most-once operation.
-type unclaimable struct{}
-
-// Claim refuses.
-func (unclaimable) Claim(context.Context, traffic.Operation) (traffic.Claim, *traffic.OperationResult, error) {
-	return nil, nil, problem.NotRun(problem.KindClaimUnavailable, "operations can't be claimed on this host")
-}
-
 // noteCalls holds the operators' calls that wait for a decision on their note.
 type noteCalls struct {
 	mu      sync.Mutex
