Read the platform's host list once for a cell

Cause: every host read the list each second, so a fleet of 4,900 would need 4,900 reads a second of the platform's two thousand. Change: package directory elects one reader by the view, relays changes, and lets a host read by itself after 5 s of silence; standin control-cost measures a host's control cost.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 GO_BUILD = go build -trimpath -ldflags "-X main.version=$(VERSION)"
+MATRIX_PACKAGES = ./membership ./configuration ./limits ./operations
 
 .PHONY: build test lint demo run matrix bench ci
 
@@ -19,6 +20,10 @@
 run: build
 	bin/standin demo --binary bin/catkinspring --keep
 
+# One line a module and one in all. MATRIX_CELL=<name of a cell> repeats one cell with its trace.
+matrix:
+	.ci/matrix $(MATRIX_PACKAGES)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,10 +19,11 @@
 
 // commandLine lists the subcommands.
 type commandLine struct {
-	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform: object store and host list."`
-	Upstream upstreamCommand `cmd:"" help:"Run stand-ins of upstreams, one listener each."`
-	Load     loadCommand     `cmd:"" help:"Send the load of a scenario to entry hosts."`
-	Demo     demoCommand     `cmd:"" help:"Run a whole fleet, drive requests through it while parts of it fail, and check its promises."`
+	Platform platformCommand    `cmd:"" help:"Run the stand-in of the platform: object store and host list."`
+	Upstream upstreamCommand    `cmd:"" help:"Run stand-ins of upstreams, one listener each."`
+	Load     loadCommand        `cmd:"" help:"Send the load of a scenario to entry hosts."`
+	Demo     demoCommand        `cmd:"" help:"Run a whole fleet, drive requests through it while parts of it fail, and check its promises."`
+	Cost     controlCostCommand `cmd:"" name:"control-cost" help:"Measure the control cost of entry hosts without traffic."`
 }
 
 func main() {
--- a/host/host.go
+++ b/host/host.go
@@ -247,7 +247,6 @@
 	var group conc.WaitGroup
 	group.Go(func() { h.loop.run(ctx) })
 	group.Go(func() { h.dispatcher.Run(ctx) })
-	group.Go(func() { h.pollHosts(ctx) })
 	group.Go(func() { h.watchHead(ctx) })
 	group.Go(func() { h.pump(ctx) })
 	group.Go(func() { h.serve("callers", h.gateway.Serve, h.listeners.callers) })
--- a/host/modules.go
+++ b/host/modules.go
@@ -4,6 +4,7 @@
 	mathrand "math/rand/v2"
 
 	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/limits"
@@ -22,6 +23,7 @@
 	placement     moduleID
 	quarantine    moduleID
 	operations    moduleID
+	directory     moduleID
 }
 
 func (h *Host) addModules() {
@@ -64,6 +66,11 @@
 		machine: operations.New(operations.Options{Self: h.self}),
 		output:  h.operationsOutput,
 	}, operations.Messages())
+	h.modules.directory = h.loop.add(module{
+		name:    "directory",
+		machine: directory.NewMachine(h.self.Host),
+		output:  h.directoryOutput,
+	}, directory.Messages())
 }
 
 func ignoreOutput(machine.Now, machine.Output) {}
@@ -76,7 +83,8 @@
 	types = append(types, limits.Messages()...)
 	types = append(types, placement.Messages()...)
 	types = append(types, dispatch.Messages()...)
-	return append(types, operations.Messages()...)
+	types = append(types, operations.Messages()...)
+	return append(types, directory.Messages()...)
 }
 
 // membershipOutput carries out the outputs of the membership. A view and a lease
@@ -174,6 +182,15 @@
 	h.placement.SetShiftCaps(caps, weight)
 }
 
+func (h *Host) directoryOutput(_ machine.Now, out machine.Output) {
+	switch out := out.(type) {
+	case directory.ReadList:
+		h.readHosts()
+	case directory.Changed:
+		h.adoptHosts(out.Hosts)
+	}
+}
+
 func (h *Host) operationsOutput(_ machine.Now, out machine.Output) {
 	switch out := out.(type) {
 	case operations.Decided:
--- a/host/outside.go
+++ b/host/outside.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
@@ -23,8 +24,6 @@
 )
 
 const (
-	// hostListInterval is the time between two reads of the platform's host list.
-	hostListInterval = time.Second
 	// watchRetryInterval is the time after which a failed watch is repeated.
 	watchRetryInterval = time.Second
 	headKind           = "configuration"
@@ -143,28 +142,20 @@
 	h.ring.Record(now.WallMillis, e)
 }
 
-// pollHosts reads the platform's host list. The list lags; the modules take it
-// as a hint.
-func (h *Host) pollHosts(ctx context.Context) {
-	ticker := time.NewTicker(hostListInterval)
-	defer ticker.Stop()
-	for {
-		list, err := h.objects.ListHosts(ctx)
-		if err == nil {
-			h.adoptHosts(list)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+// readHosts reads the platform's host list without holding up the loop. The
+// directory asks for one read at a time.
+func (h *Host) readHosts() {
+	go func() {
+		list, err := h.objects.ListHosts(context.Background())
+		h.loop.post(h.modules.directory, directory.ListRead{OK: err == nil, List: list})
+	}()
 }
 
-func (h *Host) adoptHosts(list store.HostList) {
+// adoptHosts hands a changed host list to the modules that take it as a hint.
+func (h *Host) adoptHosts(hosts []store.ListedHost) {
 	var entries []membership.PlatformHost
 	var upstreams []placement.ListedUpstream
-	for _, l := range list.Hosts {
+	for _, l := range hosts {
 		switch l.Role {
 		case store.RoleEntry:
 			entries = append(entries, membership.PlatformHost{
@@ -176,8 +167,8 @@
 			upstreams = append(upstreams, listedUpstream(l))
 		}
 	}
-	h.loop.post(h.modules.membership, membership.PlatformHosts{Hosts: entries})
-	h.loop.post(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
+	h.loop.forward(h.modules.membership, membership.PlatformHosts{Hosts: entries})
+	h.loop.forward(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
 }
 
 func listedUpstream(l store.ListedHost) placement.ListedUpstream {
--- /dev/null
+++ b/internal/demo/cost.go
@@ -0,0 +1,207 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// clockTicks is the unit of processor time in /proc, which is 100 Hz on every
+// Linux platform that Go supports.
+const clockTicks = 100
+
+// metricPrefix begins the name of every metric of an entry host.
+const metricPrefix = "catkinspring_"
+
+// costSettle is the time after the start in which connections and rosters settle.
+const costSettle = 5 * time.Second
+
+// Cost is what the control work of one host costs, on average over the hosts.
+type Cost struct {
+	Hosts int
+	// CPU is the part of one core.
+	CPU float64
+	// Resident is the resident memory in bytes.
+	Resident float64
+	// Sent and Received are bytes a second of peer messages.
+	Sent     float64
+	Received float64
+	// StoreCalls are calls to the platform a second by the whole fleet.
+	StoreCalls float64
+}
+
+// MeasureControlCost starts fleets without traffic and measures each for the
+// given time. Hosts are numbers of entry hosts; each is rounded down to a
+// multiple of the failure domains.
+func MeasureControlCost(ctx context.Context, options Options, hosts []int, duration time.Duration, out io.Writer) error {
+	fmt.Fprintf(out, "%6s %10s %12s %12s %12s %14s\n", "hosts", "core", "resident", "sent B/s", "received B/s", "store calls/s")
+	for _, n := range hosts {
+		cost, err := measureCost(ctx, options, n, duration)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%6d %9.3f%% %9.1f MB %12.0f %12.0f %14.1f\n",
+			cost.Hosts, 100*cost.CPU, cost.Resident/1e6, cost.Sent, cost.Received, cost.StoreCalls)
+	}
+	return nil
+}
+
+func measureCost(ctx context.Context, options Options, hosts int, duration time.Duration) (Cost, error) {
+	options, remove, err := options.prepared()
+	if err != nil {
+		return Cost{}, err
+	}
+	defer remove()
+	spec := Cooperative()
+	spec.HostsPerDomain = max(1, hosts/(len(spec.Regions)*spec.Domains))
+	f, err := start(ctx, spec, options, func(string, ...any) {})
+	if err != nil {
+		return Cost{}, err
+	}
+	defer f.Close()
+	if !sleep(ctx, costSettle) {
+		return Cost{}, ctx.Err()
+	}
+	before, err := f.usage(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	if !sleep(ctx, duration) {
+		return Cost{}, ctx.Err()
+	}
+	after, err := f.usage(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	return after.since(before, len(f.Hosts)), nil
+}
+
+// usage sums counters over all hosts.
+type usage struct {
+	at       time.Time
+	ticks    float64
+	resident float64
+	sent     float64
+	received float64
+	calls    float64
+}
+
+func (u usage) since(before usage, hosts int) Cost {
+	seconds := u.at.Sub(before.at).Seconds()
+	n := float64(hosts)
+	return Cost{
+		Hosts:      hosts,
+		CPU:        (u.ticks - before.ticks) / clockTicks / seconds / n,
+		Resident:   u.resident / n,
+		Sent:       (u.sent - before.sent) / seconds / n,
+		Received:   (u.received - before.received) / seconds / n,
+		StoreCalls: (u.calls - before.calls) / seconds,
+	}
+}
+
+func (f *Fleet) usage(ctx context.Context) (usage, error) {
+	u := usage{at: time.Now()}
+	for _, h := range f.Hosts {
+		ticks, err := processorTicks(h.Process.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		resident, err := residentBytes(h.Process.cmd.Process.Pid)
+		if err != nil {
+			return u, err
+		}
+		counters, err := scrape(ctx, h)
+		if err != nil {
+			return u, err
+		}
+		u.ticks += ticks
+		u.resident += resident
+		u.sent += counters[metricPrefix+"peer_bytes_out"]
+		u.received += counters[metricPrefix+"peer_bytes_in"]
+		for name, value := range counters {
+			if strings.HasPrefix(name, metricPrefix+"store_calls_") {
+				u.calls += value
+			}
+		}
+	}
+	return u, nil
+}
+
+// scrape reads the metrics of a host as name and value.
+func scrape(ctx context.Context, h *Host) (map[string]float64, error) {
+	text, err := fetchText(ctx, h.operatorsURL("/metrics"))
+	if err != nil {
+		return nil, err
+	}
+	values := map[string]float64{}
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if number, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = number
+		}
+	}
+	return values, nil
+}
+
+// processorTicks returns the user and system time of a process.
+func processorTicks(pid int) (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "processor time")
+	}
+	// The second field is the command in parentheses and may hold spaces; the
+	// times are fields 14 and 15.
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, eris.Errorf("unexpected form of process %d's stat", pid)
+	}
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		return 0, eris.Wrap(err, "user time")
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	return user + system, eris.Wrap(err, "system time")
+}
+
+func residentBytes(pid int) (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "resident memory")
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, eris.Errorf("unexpected form of process %d's statm", pid)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()), eris.Wrap(err, "resident memory")
+}
+
+// fetchText reads a text document without credentials.
+func fetchText(ctx context.Context, url string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", eris.Wrap(err, "request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", eris.Wrap(err, "call")
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	return string(text), eris.Wrap(err, "answer")
+}
