--- a/membership/scenario_test.go
+++ b/membership/scenario_test.go
@@ -35,6 +35,7 @@
 // cellScenario is a cell of hosts over three regions.
 type cellScenario struct {
 	rig        *faulttest.Rig
+	lease      time.Duration
 	build      func(o Options) machine.Machine
 	hosts      []fleet.HostID
 	running    map[fleet.HostID]*process
@@ -52,6 +53,7 @@
 func newCell(seed uint64, hosts int, build func(o Options) machine.Machine) *cellScenario {
 	s := &cellScenario{
 		rig:     faulttest.New(seed),
+		lease:   lease,
 		build:   build,
 		running: map[fleet.HostID]*process{},
 		lost:    map[fleet.HostID]bool{},
@@ -82,8 +84,8 @@
 		Self:          member,
 		Location:      fleet.Location{Region: region, FailureDomain: fleet.FailureDomain(region + "-1")},
 		Cell:          "a",
-		LeaseDuration: lease,
-		LeaveDelay:    lease / 4,
+		LeaseDuration: s.lease,
+		LeaveDelay:    s.lease / 4,
 		Rand:          rand.New(rand.NewPCG(s.rig.Rand.Uint64(), 1)),
 	})
 	p.node = s.rig.AddNode(member, p.machine)
