--- a/configuration/rig_test.go
+++ b/configuration/rig_test.go
@@ -217,10 +217,13 @@
 	require.Equal(t, NoteResult{RequestID: 1, Revision: 1, Changes: c.results[1].Changes}, c.results[1])
 	started := c.rig.Now()
 	c.apply("h7", 2, withdrawNote("second"))
-	for c.hosts["h0"].revision() < 2 || slices.ContainsFunc(c.ids, func(id fleet.HostID) bool { return c.hosts[id].usable() }) {
+	for slices.ContainsFunc(c.ids, func(id fleet.HostID) bool { return c.hosts[id].revision() < 2 }) {
 		c.rig.Run(time.Millisecond)
 		require.Less(t, c.rig.Now().Sub(started), 3*time.Second)
 	}
+	for _, id := range c.ids {
+		require.False(t, c.hosts[id].usable())
+	}
 	t.Logf("withdrawal in force on 12 hosts after %v", c.rig.Now().Sub(started))
 	// Hosts that wait for a heartbeat would take up to 1.25 s.
 	require.Less(t, c.rig.Now().Sub(started), 200*time.Millisecond)
--- /dev/null
+++ b/configuration/shard_test.go
@@ -0,0 +1,105 @@
+package configuration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/fleet"
+)
+
+// blocksOf returns a snapshot with a number of /24 blocks.
+func blocksOf(count int) *Snapshot {
+	s := &Snapshot{Revision: 1, Blocks: make([]ClientBlock, 0, count)}
+	for i := range count {
+		address := netip.AddrFrom4([4]byte{byte(i >> 16), byte(i >> 8), byte(i), 0})
+		s.Blocks = append(s.Blocks, ClientBlock{Prefix: netip.PrefixFrom(address, 24), Region: fleet.Region(fmt.Sprint("region-", i%17))})
+	}
+	s.Index()
+	return s
+}
+
+// Guards against shards near the store's limit, and against a small change that
+// rewrites many of them.
+func TestSmallChangeRewritesFewShards(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	s := blocksOf(100_000)
+	_, shards := encodeShards(s)
+	largest := 0
+	for _, raw := range shards {
+		largest = max(largest, len(raw))
+	}
+	require.Less(t, largest, maxShardSize)
+	for i := range 20 {
+		n := &Note{ID: fmt.Sprint("n", i)}
+		at := random.IntN(len(s.Blocks))
+		switch i % 3 {
+		case 0:
+			n.Changed.ClientBlocks = []ClientBlock{{Prefix: s.Blocks[at].Prefix, Region: "elsewhere"}}
+		case 1:
+			n.Withdrawn.ClientBlocks = []netip.Prefix{s.Blocks[at].Prefix}
+		default:
+			n.Added.ClientBlocks = []ClientBlock{{Prefix: netip.MustParsePrefix(fmt.Sprintf("%d.1.0.0/25", 100+i)), Region: "new"}}
+		}
+		next, err := Apply(s, n)
+		require.NoError(t, err)
+		_, after := encodeShards(next)
+		written := 0
+		for digest := range after {
+			if _, stored := shards[digest]; !stored {
+				written++
+			}
+		}
+		require.LessOrEqual(t, written, 2)
+		require.Len(t, Diff(s, next), 1)
+		s, shards = next, after
+	}
+	t.Logf("100,000 blocks in %d shards, the largest %d bytes", len(shards), largest)
+}
+
+// Guards against items so large that a shard passes the store's limit.
+func TestLargeItemsFillShards(t *testing.T) {
+	s := &Snapshot{}
+	for i := range 500 {
+		c := Customer{ID: fleet.Customer(fmt.Sprintf("customer-%d", i)), Rate: 1, Burst: 1, Weight: 1}
+		for k := range maxKeys {
+			c.Keys = append(c.Keys, Key{ID: fmt.Sprintf("%08x%08x", i, k), Digest: testDigest})
+		}
+		s.Customers = append(s.Customers, c)
+	}
+	_, shards := encodeShards(s)
+	for _, raw := range shards {
+		require.LessOrEqual(t, len(raw), maxShardSize+64)
+	}
+	require.Greater(t, len(shards), 10)
+}
+
+// BenchmarkTargetSize measures a note that changes one of 1.6 million blocks.
+func BenchmarkTargetSize(b *testing.B) {
+	s := blocksOf(1_600_000)
+	n := &Note{ID: "n"}
+	n.Changed.ClientBlocks = []ClientBlock{{Prefix: s.Blocks[7].Prefix, Region: "elsewhere"}}
+	order, shards := encodeShards(s)
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := Apply(s, n); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("encode", func(b *testing.B) {
+		for b.Loop() {
+			encodeShards(s)
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := decodeSnapshot(&Head{Shards: order}, shards); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/store/objects.go
+++ b/store/objects.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/machine"
 )
@@ -151,46 +153,69 @@
 
 // Watch waits up to timeout for changes of a kind after a store version. It
 // returns *CompactedError if the store no longer holds them, and
-// *UnavailableError for every other failure. When ctx ends it returns at once;
-// the exchange behind it ends by itself within timeout plus the call timeout.
+// *UnavailableError for every other failure. It has a connection of its own,
+// which is closed when ctx ends.
 func (h *HTTP) Watch(ctx context.Context, kind string, since uint64, timeout time.Duration) (Changes, error) {
 	seconds := max(1, int(timeout/time.Second))
 	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "timeoutSeconds": {strconv.Itoa(seconds)}}
 	path := "/v1/watch/" + url.PathEscape(kind) + "?" + query.Encode()
 	bound := time.Duration(seconds)*time.Second + h.options.Timeout
-	type outcome struct {
-		reply reply
-		err   error
-	}
-	done := make(chan outcome, 1)
-	var exchange conc.WaitGroup
-	exchange.Go(func() {
-		r, err := h.do(ctx, call{kind: kindWatch, method: http.MethodGet, path: path, client: h.lists, timeout: bound})
-		done <- outcome{reply: r, err: err}
-	})
-	var o outcome
-	select {
-	case <-ctx.Done():
+	connection := &ownConnection{dial: h.dial}
+	client := h.newClient(maxListSize)
+	client.DialTimeout = connection.open
+	defer client.CloseIdleConnections()
+	defer context.AfterFunc(ctx, connection.close)()
+	r, err := h.do(ctx, call{kind: kindWatch, method: http.MethodGet, path: path, client: client, timeout: bound})
+	switch {
+	case ctx.Err() != nil:
 		return Changes{}, readFailed(ctx.Err())
-	case o = <-done:
-	}
-	if o.err != nil {
-		return Changes{}, readFailed(o.err)
-	}
-	switch o.reply.status {
-	case http.StatusOK:
-	case http.StatusGone:
+	case err != nil:
+		return Changes{}, readFailed(err)
+	case r.status == http.StatusGone:
 		return Changes{}, &CompactedError{Since: since}
-	default:
-		return Changes{}, readFailed(&StatusError{Status: o.reply.status})
+	case r.status != http.StatusOK:
+		return Changes{}, readFailed(&StatusError{Status: r.status})
 	}
 	var changes Changes
-	if err := decodeJSON(o.reply.body, &changes); err != nil {
+	if err := decodeJSON(r.body, &changes); err != nil {
 		return Changes{}, err
 	}
 	return changes, nil
 }
 
+// ownConnection is a connection that can be closed while it is in use.
+type ownConnection struct {
+	dial fasthttp.DialFuncWithTimeout
+
+	mutex  sync.Mutex
+	conn   net.Conn
+	closed bool
+}
+
+func (o *ownConnection) open(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := o.dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.closed {
+		_ = conn.Close()
+		return nil, &dialError{cause: net.ErrClosed}
+	}
+	o.conn = conn
+	return conn, nil
+}
+
+func (o *ownConnection) close() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.closed = true
+	if o.conn != nil {
+		_ = o.conn.Close()
+	}
+}
+
 func (h *HTTP) read(ctx context.Context, kind, path string, timeout time.Duration) (reply, error) {
 	r, err := h.do(ctx, call{kind: kind, method: http.MethodGet, path: path, client: h.lists, timeout: timeout})
 	if err != nil {
