--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -58,7 +58,7 @@
 	head      *Head
 	raw       []byte
 	snapshot  *Snapshot
-	shards    map[Digest][]byte
+	shards    shards
 	writer    *shardWriter
 	acks      map[fleet.Member]bool
 	announced machine.Instant
@@ -312,9 +312,9 @@
 func (m *Machine) prepare(read headRead, next *Snapshot) {
 	j := m.job
 	m.stopWriter()
-	order, shards := encodeShards(next)
+	order, parts := cutShards(next, m.shards)
 	note := AcceptedNote{ID: j.request.Note.ID, Revision: next.Revision, Digest: j.digest}
-	j.base, j.snapshot, j.shards = read, next, shards
+	j.base, j.snapshot, j.shards = read, next, parts
 	j.head = nextHead(read.head, order, note)
 	j.raw = mustEncode(j.head)
 	stored := map[Digest]bool{}
@@ -327,7 +327,7 @@
 			missing = append(missing, digest)
 		}
 	}
-	j.writer = m.newShardWriter(missing, shards)
+	j.writer = m.newShardWriter(missing, parts)
 }
 
 // beat repeats the announcement: to members that have not acknowledged it, and
--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"net/netip"
 	"slices"
 	"strings"
 
@@ -37,12 +36,14 @@
 	return slices.Compact(ids)
 }
 
+// maxApplyProblems bounds the problems that are reported of one note.
+const maxApplyProblems = 200
+
 type applier struct {
 	note      *Note
 	base      *Snapshot
 	routes    map[fleet.Route]Route
 	customers map[fleet.Customer]Customer
-	blocks    map[netip.Prefix]ClientBlock
 	keys      map[string]fleet.Customer
 	rules     []string
 	problems  []Problem
@@ -65,22 +66,13 @@
 			a.keys[key.ID] = c.ID
 		}
 	}
-	if a.touchesBlocks() {
-		a.blocks = make(map[netip.Prefix]ClientBlock, len(base.Blocks))
-		for _, b := range base.Blocks {
-			a.blocks[b.Prefix] = b
-		}
-	}
 	return a
 }
 
-// touchesBlocks reports whether the client blocks have to be rebuilt. They are
-// by far the largest part of a configuration.
-func (a *applier) touchesBlocks() bool {
-	return len(a.note.Added.ClientBlocks)+len(a.note.Changed.ClientBlocks)+len(a.note.Withdrawn.ClientBlocks) > 0
-}
-
 func (a *applier) fail(path string, item Item, want string) {
+	if len(a.problems) >= maxApplyProblems {
+		return
+	}
 	line, column := 1, 1
 	if a.note.positions != nil {
 		line, column = a.note.positions.Position(path)
@@ -130,9 +122,6 @@
 			delete(a.keys, key.ID)
 		}
 	}
-	for i, prefix := range w.ClientBlocks {
-		take(a, a.blocks, prefix, index("withdrawn.clientBlocks", i), Item{KindClientBlock, prefix.String()})
-	}
 	for i, line := range w.AlertRules {
 		at := slices.Index(a.rules, line)
 		if at < 0 {
@@ -164,11 +153,6 @@
 		c.Rate, c.Burst, c.Weight = limits.Rate, limits.Burst, limits.Weight
 		a.customers[limits.ID] = c
 	}
-	for i, b := range a.note.Changed.ClientBlocks {
-		if _, ok := take(a, a.blocks, b.Prefix, index("changed.clientBlocks", i), Item{KindClientBlock, b.Prefix.String()}); ok {
-			a.blocks[b.Prefix] = b
-		}
-	}
 }
 
 func (a *applier) add() {
@@ -189,9 +173,6 @@
 	for i, key := range a.note.Added.Keys {
 		a.addKey(index("added.keys", i), key.Customer, Key{ID: key.ID, Digest: key.Digest})
 	}
-	for i, b := range a.note.Added.ClientBlocks {
-		put(a, a.blocks, b.Prefix, b, index("added.clientBlocks", i), Item{KindClientBlock, b.Prefix.String()})
-	}
 	for i, line := range a.note.Added.AlertRules {
 		if slices.Contains(a.rules, line) {
 			a.fail(index("added.alertRules", i), Item{KindAlertRule, line}, "exists already")
@@ -226,17 +207,11 @@
 		Revision:   a.base.Revision + 1,
 		Routes:     slices.Collect(maps.Values(a.routes)),
 		Customers:  slices.Collect(maps.Values(a.customers)),
-		Blocks:     a.base.Blocks,
+		Blocks:     a.editBlocks(),
 		AlertRules: a.rules,
 	}
-	if a.blocks != nil {
-		next.Blocks = slices.Collect(maps.Values(a.blocks))
-	}
 	slices.SortFunc(next.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(next.Customers, func(x, y Customer) int { return cmp.Compare(x.ID, y.ID) })
-	if a.blocks != nil {
-		slices.SortFunc(next.Blocks, func(x, y ClientBlock) int { return x.Prefix.Compare(y.Prefix) })
-	}
 	return next
 }
 
--- a/configuration/diff.go
+++ b/configuration/diff.go
@@ -42,7 +42,7 @@
 	changes = append(changes, diffMaps(KindRoute, keyed(from.Routes, routeName), keyed(to.Routes, routeName))...)
 	changes = append(changes, diffMaps(KindCustomer, keyed(limitsOf(from), limitsName), keyed(limitsOf(to), limitsName))...)
 	changes = append(changes, diffMaps(KindKey, keyed(keyList(from), keyName), keyed(keyList(to), keyName))...)
-	changes = append(changes, diffMaps(KindClientBlock, keyed(from.Blocks, blockName), keyed(to.Blocks, blockName))...)
+	changes = append(changes, diffBlocks(from.Blocks, to.Blocks)...)
 	changes = append(changes, diffMaps(KindAlertRule, keyed(from.AlertRules, ruleName), keyed(to.AlertRules, ruleName))...)
 	return changes
 }
@@ -50,7 +50,6 @@
 func routeName(r Route) string           { return string(r.Name) }
 func limitsName(l CustomerLimits) string { return string(l.ID) }
 func keyName(k ownedKey) string          { return k.ID }
-func blockName(b ClientBlock) string     { return b.Prefix.String() }
 func ruleName(line string) string        { return line }
 
 // ownedKey is a key without what a person need not see.
--- a/configuration/directed_test.go
+++ b/configuration/directed_test.go
@@ -1,11 +1,13 @@
 package configuration
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -156,6 +158,26 @@
 	require.False(t, s.hosts["h4"].usable())
 }
 
+// Guards against a region without a watch, and against a watch per host.
+func TestOneWatchPerRegion(t *testing.T) {
+	view := &fleet.View{}
+	for i, region := range []fleet.Region{"a", "a", "b", "b", "b"} {
+		member := fleet.ViewMember{State: fleet.StateActive, Reachable: i != 2, Location: fleet.Location{Region: region}}
+		member.Host = fleet.HostID(fmt.Sprint("h", i))
+		view.Members = append(view.Members, member)
+	}
+	var watching []fleet.HostID
+	for _, member := range view.Members {
+		view.Self = member.Member
+		if WatchesHead(view) {
+			watching = append(watching, member.Host)
+		}
+	}
+	// h2 is not reachable for others and watches for itself.
+	require.Equal(t, []fleet.HostID{"h0", "h2", "h3"}, watching)
+	require.False(t, WatchesHead(&fleet.View{Self: fleet.Member{Host: "stranger"}}))
+}
+
 // Guards against a store outage that is reported as anything but a refusal
 // while nothing was written.
 func TestStoreOutageRefusesNotes(t *testing.T) {
--- a/configuration/machine.go
+++ b/configuration/machine.go
@@ -53,10 +53,10 @@
 	calls    map[uint64]func(machine.StoreResult)
 
 	current current
-	// shards holds the encoded shards of the current head, for peers and repairs.
-	shards map[Digest][]byte
+	// shards holds the shards of the current head, for peers and repairs.
+	shards shards
 	// fetched holds shards that arrived for a head that isn't complete.
-	fetched map[Digest][]byte
+	fetched shards
 	// peers holds the highest revision that each host was heard to have of late.
 	peers map[fleet.HostID]heardRevision
 	// highest is the highest revision in peers.
@@ -97,8 +97,8 @@
 		calls:    map[uint64]func(machine.StoreResult){},
 		current:  current{head: &Head{}},
 		lastRead: headRead{head: &Head{}},
-		shards:   map[Digest][]byte{},
-		fetched:  map[Digest][]byte{},
+		shards:   shards{},
+		fetched:  shards{},
 		peers:    map[fleet.HostID]heardRevision{},
 		resolved: resolutions{known: map[Attempt]Resolved{}},
 	}
@@ -342,13 +342,13 @@
 }
 
 // adopt puts a revision in force if it is higher than the current one.
-func (m *Machine) adopt(head *Head, raw []byte, snapshot *Snapshot, shards map[Digest][]byte) {
+func (m *Machine) adopt(head *Head, raw []byte, snapshot *Snapshot, parts shards) {
 	if head.Revision <= m.current.head.Revision {
 		return
 	}
 	m.current = current{head: head, raw: raw, snapshot: snapshot, since: m.now.Instant}
-	m.shards = shards
-	m.fetched = map[Digest][]byte{}
+	m.shards = parts
+	m.fetched = shards{}
 	m.event(EventInForce, fmt.Sprint(head.Revision), "revision %d in force", head.Revision)
 	if m.pull != nil && m.pull.head.Revision <= head.Revision {
 		m.pull = nil
--- a/configuration/note.go
+++ b/configuration/note.go
@@ -13,9 +13,9 @@
 
 // Bounds of a release note.
 const (
-	// MaxNoteSize bounds the text of a note, in bytes. 100,000 client blocks take
-	// about 6 MiB.
-	MaxNoteSize = 8 << 20
+	// MaxNoteSize bounds the text of a note, in bytes: about 17,000 client blocks.
+	// Checking a note takes several times its size in memory.
+	MaxNoteSize = 1 << 20
 	// MaxWithdrawnKeys bounds the keys that one note withdraws, so that its
 	// announcement stays below 32 KiB.
 	MaxWithdrawnKeys = 1024
--- a/configuration/pending.go
+++ b/configuration/pending.go
@@ -105,7 +105,7 @@
 		m.send(from.Host, AnnounceAck{Attempt: a.Attempt, Refused: true, Revision: m.Revision()})
 		return nil
 	}
-	if len(m.pendings) >= maxPendings {
+	if len(m.pendings) >= maxPendings || len(a.KeyIDs) > MaxWithdrawnKeys {
 		return nil
 	}
 	m.event(EventAnnounced, a.NoteID, "announced by %s; %d keys suspended", a.Attempt.Origin.Host, len(a.KeyIDs))
--- a/configuration/pull.go
+++ b/configuration/pull.go
@@ -288,7 +288,11 @@
 		if i >= maxShardsPerRequest {
 			return
 		}
-		m.send(from.Host, ShardAnswer{Digest: digest, Content: m.shards[digest]})
+		answer := ShardAnswer{Digest: digest}
+		if part, held := m.shards[digest]; held {
+			answer.Content = part.encode()
+		}
+		m.send(from.Host, answer)
 	}
 }
 
@@ -320,12 +324,13 @@
 	if f == nil {
 		return
 	}
-	if err := checkShard(digest, raw); err != nil {
+	part, err := decodeShard(digest, raw)
+	if err != nil {
 		m.event(EventMalformed, digest.String(), "%v", err)
 		f.failed(m.now.Instant)
 		return
 	}
-	m.fetched[digest] = raw
+	m.fetched[digest] = part
 	missing := m.pull.missing[:0:0]
 	for _, other := range m.pull.missing {
 		if other != f {
@@ -343,21 +348,17 @@
 	if len(p.missing) > 0 {
 		return
 	}
-	shards := make(map[Digest][]byte, len(p.head.Shards))
+	parts := make(shards, len(p.head.Shards))
 	for _, digest := range p.head.Shards {
-		raw, ok := m.shards[digest]
-		if !ok {
-			raw = m.fetched[digest]
+		part, held := m.shards[digest]
+		if !held {
+			part = m.fetched[digest]
 		}
-		shards[digest] = raw
+		parts[digest] = part
 	}
 	m.pull = nil
-	snapshot, err := decodeSnapshot(p.head, shards)
-	if err != nil {
-		m.event(EventMalformed, headName, "%v", err)
-		return
-	}
-	m.adopt(p.head, p.raw, snapshot, shards)
+	snapshot, parts := joinShards(p.head, parts)
+	m.adopt(p.head, p.raw, snapshot, parts)
 	if p.from != "" && m.lastRead.head.Revision < p.head.Revision && m.now.Instant.Sub(m.lastRead.started) < pollInterval {
 		// The store was seen a moment ago without this revision: it is either new,
 		// or was lost there.
--- a/configuration/shard.go
+++ b/configuration/shard.go
@@ -1,9 +1,11 @@
 package configuration
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"math"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,12 +81,41 @@
 	return notes
 }
 
-// shard is the content of one shard. Exactly one list is set.
+// shard is the content of one shard. Exactly one list is set. Only the content is
+// kept in memory; it is encoded again when a peer or the store needs it.
 type shard struct {
 	Routes     []Route       `cbor:"1,keyasint,omitempty"`
 	Customers  []Customer    `cbor:"2,keyasint,omitempty"`
 	Blocks     []ClientBlock `cbor:"3,keyasint,omitempty"`
 	AlertRules []string      `cbor:"4,keyasint,omitempty"`
+
+	// raw is set if the content does not encode to the bytes it came from, because
+	// another version of the program wrote them.
+	raw []byte
+}
+
+// encode returns the bytes of the shard.
+func (s *shard) encode() []byte {
+	if s.raw != nil {
+		return s.raw
+	}
+	return mustEncode(s)
+}
+
+// decodeShard checks and reads the bytes of a shard. It returns *DigestError or
+// *ContentError.
+func decodeShard(digest Digest, raw []byte) (shard, error) {
+	if got := Digest(sha256.Sum256(raw)); got != digest {
+		return shard{}, &DigestError{Want: digest, Got: got}
+	}
+	var s shard
+	if err := decoding.Unmarshal(raw, &s); err != nil {
+		return shard{}, &ContentError{Object: "shard " + digest.String(), Cause: err}
+	}
+	if !bytes.Equal(mustEncode(&s), raw) {
+		s.raw = raw
+	}
+	return s, nil
 }
 
 var (
@@ -127,30 +158,60 @@
 	ruleMask     = 127
 )
 
-// encodeShards returns the shards of a snapshot and their digests in order.
-// Equal contents give equal bytes.
-func encodeShards(s *Snapshot) ([]Digest, map[Digest][]byte) {
-	e := &shardEncoder{shards: map[Digest][]byte{}}
-	chunks(s.Routes, routeMask, routeName, routeSize, func(c []Route) { e.add(shard{Routes: c}) })
-	chunks(s.Customers, customerMask, customerName, customerSize, func(c []Customer) { e.add(shard{Customers: c}) })
-	chunks(s.Blocks, blockMask, blockName, blockSize, func(c []ClientBlock) { e.add(shard{Blocks: c}) })
-	chunks(s.AlertRules, ruleMask, ruleName, ruleSize, func(c []string) { e.add(shard{AlertRules: c}) })
-	return e.order, e.shards
+// shards holds the contents of shards by digest.
+type shards map[Digest]shard
+
+// cutShards returns the shards of a snapshot and their digests in order. Equal
+// contents give equal digests. The shards share memory with the snapshot. Client
+// blocks that form a shard of base are neither encoded nor hashed again.
+func cutShards(s *Snapshot, base shards) ([]Digest, shards) {
+	c := &shardCutter{shards: shards{}, known: map[netip.Prefix]Digest{}, base: base}
+	for digest, part := range base {
+		if len(part.Blocks) > 0 && part.raw == nil {
+			c.known[part.Blocks[0].Prefix] = digest
+		}
+	}
+	chunks(s.Routes, routeMask, routeHash, routeSize, func(part []Route) { c.add(shard{Routes: part}) })
+	chunks(s.Customers, customerMask, customerHash, customerSize, func(part []Customer) { c.add(shard{Customers: part}) })
+	chunks(s.Blocks, blockMask, blockHash, blockSize, func(part []ClientBlock) { c.add(shard{Blocks: part}) })
+	chunks(s.AlertRules, ruleMask, xxhash.Sum64String, ruleSize, func(part []string) { c.add(shard{AlertRules: part}) })
+	return c.order, c.shards
 }
 
-type shardEncoder struct {
+type shardCutter struct {
 	order  []Digest
-	shards map[Digest][]byte
+	shards shards
+	// known holds the shards of base by their first client block.
+	known map[netip.Prefix]Digest
+	base  shards
 }
 
-func (e *shardEncoder) add(s shard) {
-	raw := mustEncode(s)
-	digest := Digest(sha256.Sum256(raw))
-	e.order = append(e.order, digest)
-	e.shards[digest] = raw
+func (c *shardCutter) add(s shard) {
+	digest := c.digest(&s)
+	c.order = append(c.order, digest)
+	c.shards[digest] = s
 }
 
-func customerName(c Customer) string { return string(c.ID) }
+func (c *shardCutter) digest(s *shard) Digest {
+	if len(s.Blocks) > 0 {
+		digest, known := c.known[s.Blocks[0].Prefix]
+		if known && slices.Equal(c.base[digest].Blocks, s.Blocks) {
+			return digest
+		}
+	}
+	return Digest(sha256.Sum256(s.encode()))
+}
+
+func routeHash(r Route) uint64       { return xxhash.Sum64String(string(r.Name)) }
+func customerHash(c Customer) uint64 { return xxhash.Sum64String(string(c.ID)) }
+
+func blockHash(b ClientBlock) uint64 {
+	address := b.Prefix.Addr().As16()
+	var name [17]byte
+	copy(name[:], address[:])
+	name[16] = byte(b.Prefix.Bits())
+	return xxhash.Sum64(name[:])
+}
 
 // The sizes are upper bounds of the encoded items, in bytes.
 func routeSize(r Route) int {
@@ -161,7 +222,7 @@
 func ruleSize(line string) int    { return 5 + len(line) }
 
 // chunks cuts a list at content-defined boundaries and at maxShardSize.
-func chunks[T any](items []T, mask uint64, name func(T) string, size func(T) int, emit func([]T)) {
+func chunks[T any](items []T, mask uint64, hash func(T) uint64, size func(T) int, emit func([]T)) {
 	start, bytes := 0, 0
 	for i, item := range items {
 		if bytes+size(item) > maxShardSize {
@@ -169,7 +230,7 @@
 			start, bytes = i, 0
 		}
 		bytes += size(item)
-		if xxhash.Sum64String(name(item))&mask == 0 {
+		if hash(item)&mask == 0 {
 			emit(items[start : i+1])
 			start, bytes = i+1, 0
 		}
@@ -179,23 +240,31 @@
 	}
 }
 
-// decodeSnapshot puts a snapshot together from a head and its shards. It
-// returns *ContentError.
-func decodeSnapshot(h *Head, shards map[Digest][]byte) (*Snapshot, error) {
+// joinShards puts a snapshot together from a head and its shards. It returns the
+// shards again, sharing memory with the snapshot, so that nothing else of an
+// older snapshot is kept.
+func joinShards(h *Head, from shards) (*Snapshot, shards) {
 	s := &Snapshot{Revision: h.Revision}
+	blocks := 0
+	for _, digest := range h.Shards {
+		blocks += len(from[digest].Blocks)
+	}
+	s.Blocks = make([]ClientBlock, 0, blocks)
+	joined := make(shards, len(h.Shards))
 	for _, digest := range h.Shards {
-		var content shard
-		if err := decoding.Unmarshal(shards[digest], &content); err != nil {
-			return nil, &ContentError{Object: "shard " + digest.String(), Cause: err}
+		part := from[digest]
+		s.Routes = append(s.Routes, part.Routes...)
+		s.Customers = append(s.Customers, part.Customers...)
+		s.AlertRules = append(s.AlertRules, part.AlertRules...)
+		start := len(s.Blocks)
+		s.Blocks = append(s.Blocks, part.Blocks...)
+		if len(part.Blocks) > 0 {
+			part.Blocks = s.Blocks[start:len(s.Blocks):len(s.Blocks)]
 		}
-		s.Routes = append(s.Routes, content.Routes...)
-		s.Customers = append(s.Customers, content.Customers...)
-		s.Blocks = append(s.Blocks, content.Blocks...)
-		s.AlertRules = append(s.AlertRules, content.AlertRules...)
+		joined[digest] = part
 	}
-	s.Blocks = slices.Clip(s.Blocks)
 	s.Index()
-	return s, nil
+	return s, joined
 }
 
 // decodeHead reads a head. It returns *ContentError.
@@ -207,14 +276,6 @@
 	return &h, nil
 }
 
-// checkShard returns *DigestError if the bytes aren't those of the digest.
-func checkShard(digest Digest, raw []byte) error {
-	if got := Digest(sha256.Sum256(raw)); got != digest {
-		return &DigestError{Want: digest, Got: got}
-	}
-	return nil
-}
-
 // nextHead returns the head that follows another one.
 func nextHead(base *Head, shards []Digest, note AcceptedNote) *Head {
 	notes := append(slices.Clone(base.Notes), note)
--- a/configuration/writer.go
+++ b/configuration/writer.go
@@ -13,15 +13,15 @@
 // exists is complete, because its name is the digest of its content.
 type shardWriter struct {
 	m        *Machine
-	shards   map[Digest][]byte
+	shards   shards
 	left     []Digest
 	inFlight int
 	paused   machine.Instant
 }
 
 // newShardWriter starts to write shards.
-func (m *Machine) newShardWriter(digests []Digest, shards map[Digest][]byte) *shardWriter {
-	w := &shardWriter{m: m, shards: shards, left: slices.Clone(digests)}
+func (m *Machine) newShardWriter(digests []Digest, parts shards) *shardWriter {
+	w := &shardWriter{m: m, shards: parts, left: slices.Clone(digests)}
 	m.writers = append(m.writers, w)
 	w.pump()
 	return w
@@ -49,7 +49,8 @@
 
 func (w *shardWriter) write(digest Digest) {
 	w.inFlight++
-	call := machine.StoreCall{Op: machine.StoreCreate, Key: digest.key(), Value: w.shards[digest]}
+	part := w.shards[digest]
+	call := machine.StoreCall{Op: machine.StoreCreate, Key: digest.key(), Value: part.encode()}
 	w.m.store(call, func(result machine.StoreResult) {
 		w.inFlight--
 		if result.Outcome != machine.StoreOK && result.Outcome != machine.StoreConflict {
--- a/store/http.go
+++ b/store/http.go
@@ -37,6 +37,10 @@
 	idleConnection = 20 * time.Second
 )
 
+// VersionHeader names the header of list responses that carries the version of
+// the whole store.
+const VersionHeader = "X-Store-Version"
+
 // ClientHeader names the header that carries the id of the calling host.
 const ClientHeader = "X-Client"
 
@@ -150,6 +154,8 @@
 	status int
 	etag   string
 	body   []byte
+	// storeVersion is the content of VersionHeader.
+	storeVersion string
 }
 
 // do carries out a call. An error that isn't a *dialError means that the
@@ -185,6 +191,8 @@
 		status: response.StatusCode(),
 		etag:   string(response.Header.Peek("ETag")),
 		body:   append([]byte(nil), response.Body()...),
+
+		storeVersion: string(response.Header.Peek(VersionHeader)),
 	}, nil
 }
 
--- a/store/objects.go
+++ b/store/objects.go
@@ -111,12 +111,10 @@
 	}
 }
 
-// objectList is the body of a list response.
-type objectList struct {
-	Objects []struct {
-		Name    string `json:"name"`
-		Version uint64 `json:"version"`
-	} `json:"objects"`
+// listedObject is an element of a list response.
+type listedObject struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
 }
 
 // List returns names and versions of at most limit objects whose name starts
@@ -127,17 +125,32 @@
 	if err != nil {
 		return nil, err
 	}
-	var list objectList
+	var list []listedObject
 	if err := decodeJSON(r.body, &list); err != nil {
 		return nil, err
 	}
-	objects := make([]Object, 0, len(list.Objects))
-	for _, o := range list.Objects {
+	objects := make([]Object, 0, len(list))
+	for _, o := range list {
 		objects = append(objects, Object{Key: machine.StoreKey{Kind: kind, Name: o.Name}, Version: o.Version})
 	}
 	return objects, nil
 }
 
+// CurrentVersion returns the version of the whole store, from which a watch can
+// start after *CompactedError. It returns *UnavailableError also if the store
+// does not tell its version with lists.
+func (h *HTTP) CurrentVersion(ctx context.Context, kind string) (uint64, error) {
+	r, err := h.read(ctx, kindList, "/v1/objects/"+url.PathEscape(kind)+"?limit=1", h.options.Timeout)
+	if err != nil {
+		return 0, err
+	}
+	version, err := strconv.ParseUint(r.storeVersion, 10, 64)
+	if err != nil {
+		return 0, readFailed(&ResponseError{Reason: "header " + VersionHeader + " is not a version"})
+	}
+	return version, nil
+}
+
 // ListHosts returns the platform's host list, or *UnavailableError.
 func (h *HTTP) ListHosts(ctx context.Context) (HostList, error) {
 	r, err := h.read(ctx, kindHosts, "/v1/hosts", h.options.Timeout)
