--- a/configuration/directed_test.go
+++ b/configuration/directed_test.go
@@ -101,6 +101,44 @@
 	}, "%v", result.Err)
 }
 
+// Guards against a refusal while nobody can know, and against a note that can't
+// be asked for again afterwards.
+func TestUndecidedNoteIsToldWhenRepeated(t *testing.T) {
+	s := startDirected(t, 3)
+	s.apply(acceptor, 1, withdrawNote("withdraw"))
+	s.runUntil(t, func() bool { return len(s.hosts[acceptor].published.Suspended) > 0 })
+	s.rig.Run(7 * time.Millisecond)
+	s.rig.Store.LoseAnswers(1)
+	s.runUntil(t, func() bool { head, _ := s.storeHead(); return head.Revision == 3 })
+	s.rig.Isolate(acceptor)
+	s.rig.Store.CutHost(acceptor, true)
+	s.rig.Run(noteTimeout + time.Second)
+	require.Equal(t, &UndecidedError{NoteID: "withdraw"}, s.results[1].Err)
+	require.False(t, s.hosts[acceptor].usable(), "the key stays suspended")
+	s.apply("h0", 2, withdrawNote("withdraw"))
+	s.rig.Heal()
+	s.rig.Store.CutHost(acceptor, false)
+	s.rig.Run(effectBound)
+	require.Equal(t, NoteResult{RequestID: 2, Revision: 3, Repeated: true}, s.results[2])
+	require.EqualValues(t, 3, s.hosts[acceptor].revision())
+}
+
+// Guards against a loser that isn't told which items both notes touch.
+func TestRaceNamesWhatBothTouch(t *testing.T) {
+	s := startDirected(t, 10)
+	s.apply("h0", 1, rateNote("one", 1))
+	s.apply("h1", 2, rateNote("two", 2))
+	s.rig.Run(effectBound)
+	lost := s.results[1].Err
+	if lost == nil {
+		lost = s.results[2].Err
+	}
+	var raced *RacedError
+	require.ErrorAs(t, lost, &raced)
+	require.Equal(t, []Item{{KindCustomer, "feltlag-nord"}}, raced.Both)
+	require.ErrorContains(t, lost, "touched by both: customer feltlag-nord")
+}
+
 // Guards against an acceptance without a majority, and against keys that stay
 // suspended after the refusal.
 func TestNoteNeedsAMajority(t *testing.T) {
--- /dev/null
+++ b/internal/jsonc/jsonc_test.go
@@ -0,0 +1,69 @@
+package jsonc
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type inner struct {
+	Names  []string           `json:"names"`
+	Delays map[string]float64 `json:"delays"`
+}
+
+type sample struct {
+	Inner   inner         `json:"inner"`
+	On      bool          `json:"on"`
+	Count   int           `json:"count"`
+	Wait    time.Duration `json:"wait"`
+	Prefix  netip.Prefix  `json:"prefix"`
+	Token   string        `json:"token" secret:"true"`
+	Ignored string        `json:"-"`
+}
+
+// Guards against values that are read wrongly, and defaults that get lost.
+func TestDecode(t *testing.T) {
+	got := sample{Count: 7, Ignored: "kept"}
+	d := Decode([]byte(`{
+	// a comment
+	"inner": {"names": ["a", "\u00e6"], "delays": {"x/y": 1.5e1}}, /* another */
+	"on": true, "wait": "1m30s", "prefix": "2001:db8::/32",
+}`), &got)
+	require.Empty(t, d.Problems())
+	require.Equal(t, sample{
+		Inner: inner{Names: []string{"a", "æ"}, Delays: map[string]float64{"x/y": 15}},
+		On:    true, Count: 7, Wait: 90 * time.Second, Prefix: netip.MustParsePrefix("2001:db8::/32"), Ignored: "kept",
+	}, got)
+	require.True(t, d.Has("inner.names[1]"))
+	line, column := d.Position("inner.names[9]")
+	require.Equal(t, []int{3, 21}, []int{line, column}, "the nearest parent")
+}
+
+// Guards against problems at a wrong place, and against secrets in them.
+func TestProblems(t *testing.T) {
+	var got sample
+	d := Decode([]byte("{\"token\": 12345,\n\"on\": 1, \"count\": 1e3, \"inner\": {\"delays\": {\"a\": 1, \"a\": 2}, \"names\": {}}}"), &got)
+	d.FailInside("count", 1, "is wrong inside")
+	require.Equal(t, []Problem{
+		{Line: 1, Column: 11, Path: "token", Value: "(hidden)", Want: "must be a string"},
+		{Line: 2, Column: 7, Path: "on", Value: "1", Want: "must be true or false"},
+		{Line: 2, Column: 19, Path: "count", Value: "1e3", Want: "must be a whole number"},
+		{Line: 2, Column: 21, Path: "count", Value: "1e3", Want: "is wrong inside"},
+		{Line: 2, Column: 53, Path: "inner.delays.a", Want: "is given twice; leave one of them out"},
+		{Line: 2, Column: 71, Path: "inner.names", Want: "must be a list [ ... ]"},
+	}, d.Problems())
+}
+
+// Guards against a report that grows with a hostile text.
+func TestProblemsAreBounded(t *testing.T) {
+	text := []byte("{")
+	for range 1000 {
+		text = append(text, "\"x\": 1,"...)
+	}
+	var got sample
+	problems := Decode(append(text, '}'), &got).Problems()
+	require.Len(t, problems, maxProblems+1)
+	require.Contains(t, problems[maxProblems].String(), "more problems")
+}
