--- a/configuration/directed_test.go
+++ b/configuration/directed_test.go
@@ -1,11 +1,13 @@
 package configuration
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -99,6 +101,44 @@
 	}, "%v", result.Err)
 }
 
+// Guards against a refusal while nobody can know, and against a note that can't
+// be asked for again afterwards.
+func TestUndecidedNoteIsToldWhenRepeated(t *testing.T) {
+	s := startDirected(t, 3)
+	s.apply(acceptor, 1, withdrawNote("withdraw"))
+	s.runUntil(t, func() bool { return len(s.hosts[acceptor].published.Suspended) > 0 })
+	s.rig.Run(7 * time.Millisecond)
+	s.rig.Store.LoseAnswers(1)
+	s.runUntil(t, func() bool { head, _ := s.storeHead(); return head.Revision == 3 })
+	s.rig.Isolate(acceptor)
+	s.rig.Store.CutHost(acceptor, true)
+	s.rig.Run(noteTimeout + time.Second)
+	require.Equal(t, &UndecidedError{NoteID: "withdraw"}, s.results[1].Err)
+	require.False(t, s.hosts[acceptor].usable(), "the key stays suspended")
+	s.apply("h0", 2, withdrawNote("withdraw"))
+	s.rig.Heal()
+	s.rig.Store.CutHost(acceptor, false)
+	s.rig.Run(effectBound)
+	require.Equal(t, NoteResult{RequestID: 2, Revision: 3, Repeated: true}, s.results[2])
+	require.EqualValues(t, 3, s.hosts[acceptor].revision())
+}
+
+// Guards against a loser that isn't told which items both notes touch.
+func TestRaceNamesWhatBothTouch(t *testing.T) {
+	s := startDirected(t, 10)
+	s.apply("h0", 1, rateNote("one", 1))
+	s.apply("h1", 2, rateNote("two", 2))
+	s.rig.Run(effectBound)
+	lost := s.results[1].Err
+	if lost == nil {
+		lost = s.results[2].Err
+	}
+	var raced *RacedError
+	require.ErrorAs(t, lost, &raced)
+	require.Equal(t, []Item{{KindCustomer, "feltlag-nord"}}, raced.Both)
+	require.ErrorContains(t, lost, "touched by both: customer feltlag-nord")
+}
+
 // Guards against an acceptance without a majority, and against keys that stay
 // suspended after the refusal.
 func TestNoteNeedsAMajority(t *testing.T) {
@@ -156,6 +196,26 @@
 	require.False(t, s.hosts["h4"].usable())
 }
 
+// Guards against a region without a watch, and against a watch per host.
+func TestOneWatchPerRegion(t *testing.T) {
+	view := &fleet.View{}
+	for i, region := range []fleet.Region{"a", "a", "b", "b", "b"} {
+		member := fleet.ViewMember{State: fleet.StateActive, Reachable: i != 2, Location: fleet.Location{Region: region}}
+		member.Host = fleet.HostID(fmt.Sprint("h", i))
+		view.Members = append(view.Members, member)
+	}
+	var watching []fleet.HostID
+	for _, member := range view.Members {
+		view.Self = member.Member
+		if WatchesHead(view) {
+			watching = append(watching, member.Host)
+		}
+	}
+	// h2 is not reachable for others and watches for itself.
+	require.Equal(t, []fleet.HostID{"h0", "h2", "h3"}, watching)
+	require.False(t, WatchesHead(&fleet.View{Self: fleet.Member{Host: "stranger"}}))
+}
+
 // Guards against a store outage that is reported as anything but a refusal
 // while nothing was written.
 func TestStoreOutageRefusesNotes(t *testing.T) {
