--- a/host/outside.go
+++ b/host/outside.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"os"
 	"strconv"
@@ -85,6 +86,10 @@
 		Receive: h.loop.receive,
 		Metrics: h.registry,
 	})
+	var listen *peer.ListenError
+	if errors.As(err, &listen) {
+		return &ListenError{Purpose: "peers", Address: h.settings.Listen.Peers, Cause: listen.Cause}
+	}
 	if err != nil {
 		return err
 	}
@@ -125,10 +130,12 @@
 	return outcome == machine.StoreOK || outcome == machine.StoreNotFound
 }
 
-// noteStore logs when the store becomes reachable or unreachable.
+// noteStore logs when the store becomes reachable or unreachable, and which of
+// the two it is at the start.
 func (h *Host) noteStore(outcome machine.StoreOutcome) {
 	ok := outcome != machine.StoreRefused && outcome != machine.StoreUnknown
-	if h.state.storeOK.Swap(ok) == ok {
+	first := !h.state.storeAsked.Swap(true)
+	if h.state.storeOK.Swap(ok) == ok && !first {
 		return
 	}
 	kind, text := "store.reachable", "object store is reachable"
--- a/host/state.go
+++ b/host/state.go
@@ -18,6 +18,8 @@
 	regions   atomic.Pointer[lookup.Table]
 	draining  atomic.Bool
 	storeOK   atomic.Bool
+	// storeAsked is true once the store has answered or failed to answer.
+	storeAsked atomic.Bool
 }
 
 // ValidUntil returns the end of the host's lease.
--- a/host/status.go
+++ b/host/status.go
@@ -27,6 +27,8 @@
 	switch {
 	case h.state.draining.Load():
 		return &NotReadyError{Reason: "host is stopping"}
+	case h.state.view.Load() == nil && h.state.storeAsked.Load() && !h.state.storeOK.Load():
+		return &NotReadyError{Reason: "no roster yet, and the object store is not reachable"}
 	case h.state.view.Load() == nil:
 		return &NotReadyError{Reason: "no roster yet"}
 	case h.clock.Now().Instant >= h.state.ValidUntil():
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -40,12 +40,11 @@
 
 // Process is a process that a Launcher started.
 type Process struct {
-	Name    string
-	cmd     *exec.Cmd
-	log     string
-	stdout  *bufio.Reader
-	done    chan struct{}
-	started time.Time
+	Name   string
+	cmd    *exec.Cmd
+	log    string
+	stdout *bufio.Reader
+	done   chan struct{}
 	// ended is written before done is closed.
 	ended time.Time
 }
@@ -115,11 +114,12 @@
 
 // NewLauncher returns a launcher that keeps logs in a directory.
 func NewLauncher(directory string) *Launcher {
-	l := &Launcher{directory: directory, work: make(chan func())}
+	work := make(chan func())
+	l := &Launcher{directory: directory, work: work}
 	// The parent death signal is tied to the thread that starts a process.
 	go func() {
 		runtime.LockOSThread()
-		for f := range l.work {
+		for f := range work {
 			f()
 		}
 	}()
@@ -143,7 +143,6 @@
 	p.cmd = exec.Command(program, arguments...)
 	p.cmd.Stdout, p.cmd.Stderr = writer, log
 	p.cmd.SysProcAttr = processAttributes()
-	p.started = time.Now()
 	if err := l.run(p.cmd.Start); err != nil {
 		_ = reader.Close()
 		return nil, eris.Wrapf(err, "starting %s", name)
