--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,18 @@
 	return entry.hosts
 }
 
+// demote moves a host that refused a connection behind the others until the next
+// answer.
+func (c *caller) demote(route fleet.Route, host netip.AddrPort) {
+	entry := c.cached(route)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if at := slices.Index(entry.hosts, host); at >= 0 {
+		// Requests under way hold the old slice.
+		entry.hosts = append(slices.Delete(slices.Clone(entry.hosts), at, at+1), host)
+	}
+}
+
 // ask asks the known entry hosts one after another until one answers.
 func (c *caller) ask(entry *cachedAnswer, route fleet.Route) bool {
 	known := c.run.scenario.EntryHosts
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -19,6 +19,10 @@
 // no time.
 const unknownRetry = 200 * time.Millisecond
 
+// answerMargin is the time that is left for the answer after the deadline that an
+// entry host is given.
+const answerMargin = 200 * time.Millisecond
+
 // sender sends one request until it is answered, refused for good, or out of
 // attempts or time.
 type sender struct {
@@ -40,7 +44,11 @@
 		if again {
 			pause(ctx, s.retryAfter())
 		}
-		s.record.Attempts = append(s.record.Attempts, s.attempt(ctx, host))
+		a := s.attempt(ctx, host)
+		s.record.Attempts = append(s.record.Attempts, a)
+		if a.Failure == FailureConnect {
+			s.caller.demote(s.arrival.stream.Route, host)
+		}
 		if s.finished(ctx) {
 			break
 		}
@@ -119,10 +127,17 @@
 	return a
 }
 
+// timeout returns the time that an entry host is given. It is shorter than the
+// caller's own, so that a refusal at the end of it still arrives.
+func (s *sender) timeout() time.Duration {
+	own := s.run.scenario.AttemptTimeout
+	return max(own/2, own-answerMargin-2*s.arrival.customer.ClientDelay)
+}
+
 func (s *sender) write(request *fasthttp.Request, host netip.AddrPort) {
 	request.SetRequestURI("http://" + host.String() + s.record.Target)
 	request.Header.SetMethod(s.arrival.stream.Method)
-	request.Header.Set("X-Request-Timeout", strconv.FormatInt(s.run.scenario.AttemptTimeout.Milliseconds(), 10))
+	request.Header.Set("X-Request-Timeout", strconv.FormatInt(s.timeout().Milliseconds(), 10))
 	if !s.arrival.key.IsZero() {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.arrival.key.Reveal())
 	}
