Keep a panic while a request is read from ending the process

fasthttp calls HeaderReceived and ErrorHandler outside of the handler, without recovery. Both recover now and the request is answered with 500; one test covers the two ways.

--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -136,6 +136,15 @@
 	}
 }
 
+// Guards against a panic outside of the handler, while a request is read.
+func TestPanicWhileReading(t *testing.T) {
+	h := newHarness(t, echo, func(c *Config) { c.KeySuspended = func(string) bool { panic("fault") } })
+	for _, length := range []int{10, unauthenticatedBodyBytes + 10} {
+		r := h.ask(t, "POST", "/reads", "", strings.Repeat("a", length))
+		requireProblem(t, r, problem.KindInternal, problem.OutcomeNotRun)
+	}
+}
+
 // Guards against claims and tokens that are given back although the request may
 // have run, or kept although it did not.
 func TestSettlement(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,8 @@
 	Claimer traffic.Claimer
 
 	Dispatcher Dispatcher
-	// Quarantined reports whether requests with a fingerprint are refused.
+	// Quarantined reports whether requests with a fingerprint are refused. This
+	// and the next two may be nil, which means never.
 	Quarantined func(fingerprint uint64) bool
 	// KeySuspended reports whether a key id may be about to be withdrawn.
 	KeySuspended func(keyID string) bool
@@ -93,6 +94,15 @@
 	if config.ReadTimeout <= 0 {
 		config.ReadTimeout = RequestReadTimeout
 	}
+	if config.Quarantined == nil {
+		config.Quarantined = func(uint64) bool { return false }
+	}
+	if config.KeySuspended == nil {
+		config.KeySuspended = func(string) bool { return false }
+	}
+	if config.Draining == nil {
+		config.Draining = func() bool { return false }
+	}
 	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -59,7 +59,7 @@
 	if value == nil {
 		return
 	}
-	c.g.Logger.Error().Str("request", c.id).Interface("panic", redactPanic(value)).Msg("request handler panicked")
+	c.g.logPanic(c.id, value)
 	outcome := problem.OutcomeNotRun
 	if c.request != nil && c.request.Written() {
 		outcome = problem.OutcomeUnknown
@@ -113,6 +113,7 @@
 // after the answer.
 func (g *Gateway) parseError(ctx *fasthttp.RequestCtx, err error) {
 	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	defer c.recoverPanic()
 	lingerOnClose(ctx.Conn())
 	c.refuse(g.parseProblem(ctx, err))
 }
@@ -147,12 +148,25 @@
 	return problem.NotRun(problem.KindBodyTooLarge, "the body is larger than the route allows")
 }
 
-// headerReceived bounds the body of a request by its route.
-func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+// headerReceived bounds the body of a request by its route. The server calls it
+// outside of the handler, where a panic would end the process; the handler meets
+// the cause of the panic again and answers it.
+func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
 	if length := header.ContentLength(); length <= 0 && length != chunkedBody {
-		return fasthttp.RequestConfig{}
+		return config
 	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: max(1, g.bodyLimit(header))}
+	config.MaxRequestBodySize = unauthenticatedBodyBytes
+	defer func() {
+		if value := recover(); value != nil {
+			g.logPanic("", value)
+		}
+	}()
+	config.MaxRequestBodySize = max(1, g.bodyLimit(header))
+	return config
+}
+
+func (g *Gateway) logPanic(request string, value any) {
+	g.Logger.Error().Str("request", request).Str("panic", redactPanic(value)).Msg("request handler panicked")
 }
 
 // chunkedBody is what the codec gives as the length of a chunked body.
