--- a/lookup/builder.go
+++ b/lookup/builder.go
@@ -17,7 +17,8 @@
 // with every heartbeat, and answers are cached by callers for seconds.
 const MinRebuild = 500 * time.Millisecond
 
-// Builder makes encoded answers. It is safe for concurrent use.
+// Builder makes encoded answers. It keeps the encoded hosts and the order of
+// regions of the last view. It is safe for concurrent use.
 type Builder struct {
 	delays  Delays
 	maxAge  time.Duration
--- a/lookup/doc.go
+++ b/lookup/doc.go
@@ -1,7 +1,7 @@
 // Package lookup answers the question which entry host a client should use.
 //
-// A Table maps client addresses to regions by longest prefix. It is built once
-// for each configuration revision and never changes. A Builder turns a region
-// and a membership view into an ordered list of entry hosts and caches the
-// encoded answers until the view changes.
+// A Table maps client addresses to regions by longest prefix and never changes;
+// a Cache builds a new one when a configuration changes the client blocks. A
+// Builder turns a region and a membership view into an ordered list of entry
+// hosts, encoded for callers.
 package lookup
