Keep the client block table off the control loop and repeat peers' revisions

Cause: building 1.6 million blocks takes more than a second on the control loop; the configuration forgets peers whose revision is not reported again; a change could be missed between two watches. Change: regionTable builds on its own goroutine; revisions are reported every second; the head is read when a watch starts or fails; header and body bounds come from the settings.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,9 +19,9 @@
 
 // The bounds of the callers' interface.
 const (
-	// MaxHeaderBytes bounds the request line and header together.
+	// MaxHeaderBytes is the default bound of the request line and header together.
 	MaxHeaderBytes = 16 << 10
-	// MaxBodyBytes bounds the body whatever the route allows.
+	// MaxBodyBytes is the default bound of the body, whatever the route allows.
 	MaxBodyBytes = 8 << 20
 	// unauthenticatedBodyBytes bounds the body of a request that is going to be
 	// refused, so that callers without a key can't fill the memory.
@@ -71,6 +71,10 @@
 
 	// MaxConnections bounds the callers' connections; 0 means the default.
 	MaxConnections int
+	// HeaderBytes bounds the request line and header; 0 means MaxHeaderBytes.
+	HeaderBytes int
+	// BodyBytes bounds the body on every route; 0 means MaxBodyBytes.
+	BodyBytes int
 	// ReadTimeout bounds the time to receive a request; 0 means
 	// RequestReadTimeout.
 	ReadTimeout time.Duration
@@ -91,6 +95,12 @@
 	if config.MaxConnections <= 0 {
 		config.MaxConnections = DefaultMaxConnections
 	}
+	if config.HeaderBytes <= 0 {
+		config.HeaderBytes = MaxHeaderBytes
+	}
+	if config.BodyBytes <= 0 {
+		config.BodyBytes = MaxBodyBytes
+	}
 	if config.ReadTimeout <= 0 {
 		config.ReadTimeout = RequestReadTimeout
 	}
@@ -107,8 +117,8 @@
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
 		StrictRouting:                true,
-		BodyLimit:                    MaxBodyBytes,
-		ReadBufferSize:               MaxHeaderBytes,
+		BodyLimit:                    config.BodyBytes,
+		ReadBufferSize:               config.HeaderBytes,
 		ReadTimeout:                  config.ReadTimeout,
 		WriteTimeout:                 responseWriteTimeout,
 		IdleTimeout:                  idleTimeout,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -185,7 +185,7 @@
 	if route == nil {
 		return unauthenticatedBodyBytes
 	}
-	limit := min(route.MaxBodyBytes, MaxBodyBytes)
+	limit := min(route.MaxBodyBytes, g.BodyBytes)
 	if length := header.ContentLength(); length != chunkedBody && length <= unauthenticatedBodyBytes {
 		return limit
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/peer"
@@ -61,11 +62,14 @@
 	transport *peer.Transport
 	loop      *loop
 	modules   moduleIDs
+	// seen is the last report on peers' revisions; the control loop owns it.
+	seen membership.RevisionSeen
 
 	limits     *limits.Table
 	placement  *placement.Table
 	quarantine *dispatch.Table
 	claims     *operations.Client
+	regions    regionTable
 	dispatcher *dispatch.Dispatcher
 	gateway    *gateway.Gateway
 	operators  *operator.Server
@@ -123,6 +127,7 @@
 	h.log = o.Logger.With().Str("host", string(s.Host.ID)).Str("incarnation", h.self.Incarnation.String()[:8]).Logger()
 	h.ring = timeline.NewRing(s.Host.ID, &timeline.Clock{}, s.Timeline.Entries, keys.Redact)
 	h.notes.init()
+	h.regions.init()
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -174,6 +179,7 @@
 		return err
 	}
 	h.loop = newLoop(h.clock, effects{send: h.send, call: h.callStore, record: h.record}, h.registry)
+	h.loop.everySecond = h.repeatRevisions
 	h.buildTables()
 	h.addModules()
 	if err := h.openTransport(); err != nil {
@@ -216,7 +222,7 @@
 	h.gateway = gateway.New(gateway.Config{
 		Snapshot:       h.state.snapshot.Load,
 		View:           h.state.view.Load,
-		Regions:        h.state.regions.Load,
+		Regions:        h.regions.cache.Table,
 		Answers:        lookup.NewBuilder(h.settings.Delays.Between, h.settings.Lookup.MaxAge),
 		Lease:          &h.state,
 		Clock:          h.clock,
@@ -226,6 +232,9 @@
 		Quarantined:    h.quarantine.Quarantined,
 		KeySuspended:   h.state.keySuspended,
 		Draining:       h.state.draining.Load,
+		HeaderBytes:    h.settings.Requests.HeaderBytes,
+		BodyBytes:      h.settings.Requests.BodyBytes,
+		ReadTimeout:    h.settings.Requests.ReadTimeout,
 		MaxConnections: h.settings.Requests.Connections,
 		Registry:       h.registry,
 		Logger:         h.log,
@@ -248,6 +257,7 @@
 	group.Go(func() { h.loop.run(ctx) })
 	group.Go(func() { h.dispatcher.Run(ctx) })
 	group.Go(func() { h.watchHead(ctx) })
+	group.Go(func() { h.regions.run(ctx) })
 	group.Go(func() { h.pump(ctx) })
 	group.Go(func() { h.serve("callers", h.gateway.Serve, h.listeners.callers) })
 	group.Go(func() { h.serve("operators", h.operators.Serve, h.listeners.operators) })
--- a/host/loop.go
+++ b/host/loop.go
@@ -52,6 +52,9 @@
 	stopped chan struct{}
 	local   []item
 	effects effects
+	// everySecond is called from the loop, about once a second.
+	everySecond func()
+	nextSecond  machine.Instant
 
 	dropped metrics.Counter
 	steps   metrics.Counter
@@ -65,6 +68,9 @@
 		inbox:   make(chan item, inboxSize),
 		stopped: make(chan struct{}),
 		effects: e,
+
+		everySecond: func() {},
+
 		dropped: metrics.NewRegisteredCounter("control.inputs.dropped", registry),
 		steps:   metrics.NewRegisteredCounter("control.steps", registry),
 		busy:    metrics.NewRegisteredCounter("control.busy.nanoseconds", registry),
@@ -140,6 +146,10 @@
 }
 
 func (l *loop) tick() {
+	if now := l.clock.Now().Instant; now >= l.nextSecond {
+		l.nextSecond = now.Add(time.Second)
+		l.everySecond()
+	}
 	for id := range l.modules {
 		l.process(item{module: moduleID(id), input: machine.Tick{}})
 	}
--- a/host/modules.go
+++ b/host/modules.go
@@ -8,7 +8,6 @@
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/limits"
-	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
@@ -100,9 +99,8 @@
 		h.changeLease(now, out.ValidUntil)
 		h.loop.stepOthers(h.modules.membership, machine.LeaseChanged{ValidUntil: out.ValidUntil})
 	case membership.RevisionSeen:
-		for _, holder := range out.Holders {
-			h.loop.forward(h.modules.configuration, configuration.PeerRevision{Revision: out.Revision, Host: holder})
-		}
+		h.seen = out
+		h.repeatRevisions()
 	case membership.ContactsChanged:
 		h.transport.SetPeers(out.Peers)
 	case membership.UncommittedAcknowledged:
@@ -115,6 +113,15 @@
 	}
 }
 
+// repeatRevisions tells the configuration which peers hold the highest revision.
+// It forgets peers that it has not heard of for a while, and membership reports
+// changes only, so the report is repeated every second.
+func (h *Host) repeatRevisions() {
+	for _, holder := range h.seen.Holders {
+		h.loop.forward(h.modules.configuration, configuration.PeerRevision{Revision: h.seen.Revision, Host: holder})
+	}
+}
+
 func (h *Host) endOnce(ended chan struct{}) {
 	if !h.finished {
 		h.finished = true
@@ -146,7 +153,7 @@
 	if p.Snapshot == nil || p.Snapshot.Revision == h.state.revision() {
 		return
 	}
-	h.state.regions.Store(lookup.NewTable(p.Snapshot.Blocks))
+	h.regions.update(p.Snapshot.Blocks)
 	h.state.snapshot.Store(p.Snapshot)
 	h.applyShiftCaps()
 	h.loop.stepNow(h.modules.limits, customerLimits(p.Snapshot))
--- a/host/outside.go
+++ b/host/outside.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -190,24 +191,27 @@
 }
 
 // watchHead keeps a watch on the configuration while this host is the one of its
-// region that does.
+// region that does. A change may have been missed before the watch starts and
+// when it fails, so the head is read then too.
 func (h *Host) watchHead(ctx context.Context) {
 	var since uint64
+	watching := false
 	for ctx.Err() == nil {
-		if !h.state.watches(h.self.Host, h.location.Region) {
+		view := h.state.view.Load()
+		if view == nil || !configuration.WatchesHead(view) {
+			watching = false
 			pause(ctx, watchRetryInterval)
 			continue
 		}
 		changes, err := h.objects.Watch(ctx, headKind, since, h.settings.Platform.WatchTimeout)
+		if err != nil || !watching || len(changes.Changes) > 0 {
+			h.loop.post(h.modules.configuration, configuration.HeadChanged{})
+		}
+		watching = err == nil
+		since = changes.Version
 		if err != nil {
-			since = 0
 			pause(ctx, watchRetryInterval)
-			continue
 		}
-		if len(changes.Changes) > 0 {
-			h.loop.post(h.modules.configuration, headChanged)
-		}
-		since = changes.Version
 	}
 }
 
--- a/host/state.go
+++ b/host/state.go
@@ -5,7 +5,6 @@
 
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/fleet"
-	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -15,7 +14,6 @@
 	view      atomic.Pointer[fleet.View]
 	snapshot  atomic.Pointer[configuration.Snapshot]
 	suspended atomic.Pointer[configuration.KeySet]
-	regions   atomic.Pointer[lookup.Table]
 	draining  atomic.Bool
 	storeOK   atomic.Bool
 	// storeAsked is true once the store has answered or failed to answer.
@@ -38,20 +36,3 @@
 	}
 	return 0
 }
-
-// watches reports whether this host keeps the watch of its region: the reachable
-// active member with the lowest id does, so that the number of watches grows
-// with the regions and not with the hosts.
-func (s *state) watches(self fleet.HostID, region fleet.Region) bool {
-	view := s.view.Load()
-	if view == nil {
-		return true
-	}
-	for i := range view.Members {
-		m := &view.Members[i]
-		if m.Region == region && m.State == fleet.StateActive && (m.Reachable || m.Host == self) {
-			return m.Host == self
-		}
-	}
-	return true
-}
--- a/host/status.go
+++ b/host/status.go
@@ -9,9 +9,6 @@
 	"github.com/catkinspring/catkinspring/operator"
 )
 
-// headChanged tells the configuration to read the head.
-var headChanged = configuration.HeadChanged{}
-
 func (h *Host) deliverHead(result machine.StoreResult) bool {
 	return h.loop.post(h.modules.configuration, configuration.HeadRead{Result: result})
 }
