Read again after a pause, and agree on one of two histories

A trial of random histories found two notes with the same revision: a paused host took an answer from before a restore of the store. Old answers are now read again. A trial of the matrix with 900 ms between two faults found hosts and store with different contents of one revision after two restores; the content in force is now written as the next revision. Each has a test that fails without the change.

--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -21,6 +21,13 @@
 	beatInterval = 200 * time.Millisecond
 	// retryInterval is the time between two tries of a store call.
 	retryInterval = 200 * time.Millisecond
+	// freshAnswer is the age up to which the answer to an update is taken as it
+	// is. A host that was paused for longer reads the head again: the store may
+	// have been restored, and another note accepted, before it resumed.
+	freshAnswer = time.Second
+	// freshRead is the same for reads of the head. It is above the time bound of a
+	// store call.
+	freshRead = 3 * time.Second
 )
 
 // step is what a job waits for.
@@ -216,7 +223,7 @@
 func (m *Machine) jobHead(read headRead) {
 	j := m.job
 	switch {
-	case !read.ok:
+	case !read.ok || m.now.Instant.Sub(read.started) > freshRead:
 		j.readLater(m.now.Instant)
 	case read.head.note(j.request.Note.ID) != nil:
 		if bytes.Equal(read.raw, j.raw) {
@@ -397,16 +404,17 @@
 
 func (m *Machine) updated(result machine.StoreResult) {
 	j := m.job
-	switch result.Outcome {
-	case machine.StoreOK:
+	late := m.now.Instant.Sub(result.Started) > freshAnswer
+	switch {
+	case result.Outcome == machine.StoreOK && !late:
 		note := &j.head.Notes[len(j.head.Notes)-1]
 		m.adopt(j.head, j.raw, j.snapshot, j.shards)
 		if m.job == j {
 			m.finishKnown(note)
 		}
-	case machine.StoreConflict, machine.StoreNotFound:
+	case result.Outcome == machine.StoreConflict, result.Outcome == machine.StoreNotFound:
 		m.readForJob()
-	case machine.StoreRefused:
+	case result.Outcome == machine.StoreRefused:
 		if !j.unknown {
 			j.step = stepAnnounce
 			m.refuse(&StoreError{Reason: "it refused the update of the head"})
--- a/configuration/directed_test.go
+++ b/configuration/directed_test.go
@@ -123,6 +123,46 @@
 	require.EqualValues(t, 3, s.hosts[acceptor].revision())
 }
 
+// Guards against two notes with one revision: the accepting host is paused while
+// the answer arrives, the store is restored, and another note is accepted.
+func TestPausedHostReadsAgain(t *testing.T) {
+	s := startDirected(t, 11)
+	s.apply("h4", 1, rateNote("paused", 1))
+	s.runUntil(t, func() bool { head, _ := s.storeHead(); return head.Revision == 3 })
+	s.rig.Node("h4").Pause()
+	s.restore(s.base)
+	s.rig.Run(100 * time.Millisecond)
+	s.apply("h0", 2, rateNote("other", 2))
+	s.rig.Run(3 * time.Second)
+	require.EqualValues(t, 3, s.results[2].Revision)
+	s.rig.Node("h4").Resume()
+	s.rig.Run(effectBound)
+	require.IsType(t, &RacedError{}, s.results[1].Err)
+	require.EqualValues(t, 3, s.hosts["h4"].revision())
+	require.Empty(t, s.errors)
+}
+
+// Guards against hosts and a store that keep different contents of the same
+// revision: an older backup is restored, a note accepted, and then the right
+// backup restored.
+func TestRestoreOfAnotherHistory(t *testing.T) {
+	s := newScenario(12, buildMachine)
+	s.restore(s.older)
+	s.rig.Run(300 * time.Millisecond)
+	s.apply("h0", 1, rateNote("after", 5))
+	s.rig.Run(time.Second)
+	require.EqualValues(t, 2, s.results[1].Revision)
+	s.restore(s.base)
+	s.rig.Run(effectBound)
+	head, _ := s.storeHead()
+	require.EqualValues(t, 3, head.Revision)
+	require.NotNil(t, head.note("after"))
+	for _, id := range s.ids {
+		require.EqualValues(t, 3, s.hosts[id].revision())
+		require.EqualValues(t, 5, s.hosts[id].published.Snapshot.Customer("feltlag-nord").Rate)
+	}
+}
+
 // Guards against a loser that isn't told which items both notes touch.
 func TestRaceNamesWhatBothTouch(t *testing.T) {
 	s := startDirected(t, 10)
--- a/configuration/machine.go
+++ b/configuration/machine.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"maps"
@@ -314,7 +315,8 @@
 		m.lastRead = read
 	}
 	older := read.head.Revision < m.current.head.Revision
-	if !older {
+	other := read.head.Revision == m.current.head.Revision && m.Revision() > 0 && !bytes.Equal(read.raw, m.current.raw)
+	if !older && !other {
 		m.readSoon = false
 	}
 	switch {
@@ -322,7 +324,7 @@
 		m.startPull(read.head, read.raw, "")
 	case read.head.Revision == 0 && m.current.snapshot == nil:
 		m.adoptEmpty(read)
-	case older && read.started > m.current.since:
+	case (older || other) && read.started > m.current.since:
 		m.readAgainSoon(startReadInterval)
 		m.startRepair(read)
 	}
--- a/configuration/repair.go
+++ b/configuration/repair.go
@@ -1,9 +1,9 @@
 package configuration
 
 import (
-	"fmt"
 	"time"
 
+	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -11,10 +11,13 @@
 const repairTimeout = 10 * time.Second
 
 // repair writes the head of this host back into a store that was restored to an
-// older state.
+// older state, or to a state in which the revision has another content.
 type repair struct {
-	read     headRead
-	current  current
+	read headRead
+	// base is the revision in force when the repair began.
+	base     fleet.Revision
+	head     *Head
+	raw      []byte
 	writer   *shardWriter
 	updating bool
 	deadline machine.Instant
@@ -27,12 +30,22 @@
 		return
 	}
 	m.event(EventRestored, headName, "the store holds revision %d, revision %d is in force; writing it back", read.head.Revision, m.Revision())
-	m.repair = &repair{
+	r := &repair{
 		read:     read,
-		current:  m.current,
+		base:     m.Revision(),
+		head:     m.current.head,
+		raw:      m.current.raw,
 		writer:   m.newShardWriter(m.current.head.Shards, m.shards),
 		deadline: m.now.Instant.Add(repairTimeout),
 	}
+	if read.head.Revision == r.base {
+		// Hosts may have either content in force, so they need a higher revision to
+		// agree on.
+		next := *r.head
+		next.Revision++
+		r.head, r.raw = &next, mustEncode(&next)
+	}
+	m.repair = r
 }
 
 func (m *Machine) tickRepair() {
@@ -40,7 +53,7 @@
 	if r == nil {
 		return
 	}
-	if m.now.Instant >= r.deadline || m.Revision() != r.current.head.Revision {
+	if m.now.Instant >= r.deadline || m.Revision() != r.base {
 		m.endRepair()
 		return
 	}
@@ -48,13 +61,14 @@
 		return
 	}
 	r.updating = true
-	call := machine.StoreCall{Op: machine.StoreUpdate, Key: HeadKey, Version: r.read.version, Value: r.current.raw}
+	call := machine.StoreCall{Op: machine.StoreUpdate, Key: HeadKey, Version: r.read.version, Value: r.raw}
 	if r.read.absent() {
-		call = machine.StoreCall{Op: machine.StoreCreate, Key: HeadKey, Value: r.current.raw}
+		call = machine.StoreCall{Op: machine.StoreCreate, Key: HeadKey, Value: r.raw}
 	}
 	m.store(call, func(result machine.StoreResult) {
 		if result.Outcome == machine.StoreOK {
-			m.event(EventRestored, headName, "revision %s is in the store again", fmt.Sprint(r.current.head.Revision))
+			m.event(EventRestored, headName, "revision %d is in the store again", r.head.Revision)
+			m.adoptRepaired(r)
 		}
 		if m.repair == r {
 			m.endRepair()
@@ -62,6 +76,18 @@
 	})
 }
 
+// adoptRepaired puts the content in force again under its new revision, if it
+// got one.
+func (m *Machine) adoptRepaired(r *repair) {
+	if r.head.Revision == r.base || m.Revision() != r.base {
+		return
+	}
+	snapshot := *m.current.snapshot
+	snapshot.Revision = r.head.Revision
+	snapshot.Index()
+	m.adopt(r.head, r.raw, &snapshot, m.shards)
+}
+
 // endRepair ends a repair and has the head read again to see what it came to.
 func (m *Machine) endRepair() {
 	m.repair.writer.stop()
