--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -108,7 +108,6 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	s.write(request, host)
 	delay := s.arrival.customer.ClientDelay
 	pause(ctx, delay)
 	a := Attempt{Host: host, Start: time.Now()}
@@ -116,6 +115,7 @@
 	if bound, ok := ctx.Deadline(); ok && bound.Before(deadline) {
 		deadline = bound
 	}
+	s.write(request, host, s.allowed(deadline.Sub(a.Start)))
 	err := s.run.clients.to(host).DoDeadline(request, response, deadline)
 	a.End = time.Now()
 	pause(ctx, delay)
@@ -127,17 +127,16 @@
 	return a
 }
 
-// timeout returns the time that an entry host is given. It is shorter than the
-// caller's own, so that a refusal at the end of it still arrives.
-func (s *sender) timeout() time.Duration {
-	own := s.run.scenario.AttemptTimeout
-	return max(own/2, own-answerMargin-2*s.arrival.customer.ClientDelay)
+// allowed returns the time that an entry host is given. It is shorter than the
+// time that is left to the caller, so that a refusal at the end of it arrives.
+func (s *sender) allowed(left time.Duration) time.Duration {
+	return max(left/2, left-answerMargin-2*s.arrival.customer.ClientDelay)
 }
 
-func (s *sender) write(request *fasthttp.Request, host netip.AddrPort) {
+func (s *sender) write(request *fasthttp.Request, host netip.AddrPort, allowed time.Duration) {
 	request.SetRequestURI("http://" + host.String() + s.record.Target)
 	request.Header.SetMethod(s.arrival.stream.Method)
-	request.Header.Set("X-Request-Timeout", strconv.FormatInt(s.timeout().Milliseconds(), 10))
+	request.Header.Set("X-Request-Timeout", strconv.FormatInt(max(1, allowed.Milliseconds()), 10))
 	if !s.arrival.key.IsZero() {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.arrival.key.Reveal())
 	}
