Leave customers above their rate out of the demo's wrongful refusals

Their repeats take the tokens that a central bucket gives to first attempts, so 110 of 114 first attempts of the customer at five times its rate counted as wrongly refused.

--- a/internal/demo/admission.go
+++ b/internal/demo/admission.go
@@ -133,11 +133,22 @@
 	return highest
 }
 
-// wrongfulRefusals counts the requests whose first attempt was refused by rate
-// although one central bucket, full at the start, would have admitted it, and
-// all first attempts that it would have admitted. Other refusals take no token,
-// because nothing ran.
-func (e *evidence) wrongfulRefusals() (wrongful, admitted int) {
+// startTime is the time after which wrongful refusals no longer count as those of
+// the start, when hosts have no share of a rate yet.
+const startTime = 3 * time.Second
+
+// wrongfulRefusals compares the first attempts of the customers that stayed
+// within rate and burst with one central bucket, full at the start.
+type wrongfulRefusals struct {
+	// admitted counts the attempts that the central bucket would have admitted,
+	// refused those of them that were refused by rate, and early the refused ones
+	// within startTime.
+	admitted, refused, early int
+}
+
+// wrongful leaves out customers that sent more than their rate: their repeats
+// take the tokens that a central bucket would have given to first attempts.
+func (e *evidence) wrongful() wrongfulRefusals {
 	attempts := map[fleet.Customer][]*load.Attempt{}
 	for i := range e.records {
 		r := &e.records[i]
@@ -145,25 +156,42 @@
 			attempts[r.Customer] = append(attempts[r.Customer], &r.Attempts[0])
 		}
 	}
+	var total wrongfulRefusals
 	for _, c := range e.customers {
-		list := attempts[c.ID]
-		slices.SortFunc(list, func(a, b *load.Attempt) int { return a.Start.Compare(b.Start) })
-		level, at := c.Burst, time.Time{}
-		for _, a := range list {
-			if !at.IsZero() {
-				level = min(c.Burst, level+c.Rate*a.Start.Sub(at).Seconds())
-			}
-			at = a.Start
-			limited := a.Status == fasthttp.StatusTooManyRequests
-			if level < 1 || !limited && a.Outcome == problem.OutcomeNotRun {
-				continue
-			}
-			level--
-			admitted++
-			if limited {
-				wrongful++
+		if w, within := e.centralBucket(c, attempts[c.ID]); within {
+			total.admitted += w.admitted
+			total.refused += w.refused
+			total.early += w.early
+		}
+	}
+	return total
+}
+
+// centralBucket replays attempts against one bucket and reports whether it would
+// have admitted all of them. Refusals for other reasons take no token.
+func (e *evidence) centralBucket(c CustomerSpec, attempts []*load.Attempt) (w wrongfulRefusals, within bool) {
+	slices.SortFunc(attempts, func(a, b *load.Attempt) int { return a.Start.Compare(b.Start) })
+	level, at := c.Burst, time.Time{}
+	for _, a := range attempts {
+		if !at.IsZero() {
+			level = min(c.Burst, level+c.Rate*a.Start.Sub(at).Seconds())
+		}
+		at = a.Start
+		limited := a.Status == fasthttp.StatusTooManyRequests
+		if !limited && a.Outcome == problem.OutcomeNotRun {
+			continue
+		}
+		if level < 1 {
+			return wrongfulRefusals{}, false
+		}
+		level--
+		w.admitted++
+		if limited {
+			w.refused++
+			if a.Start.Before(e.facts.start.Add(startTime)) {
+				w.early++
 			}
 		}
 	}
-	return wrongful, admitted
+	return w, true
 }
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -85,7 +85,7 @@
 		return fmt.Sprintf("%d at-most-once, %d reads", orders[v], verdicts[v]-orders[v])
 	}
 	failed, requests, resolved := e.killedFailures()
-	wrongful, asked := e.wrongfulRefusals()
+	wrongful := e.wrongful()
 	l := result.Lookups
 	return []finding{
 		fact("sent", len(e.records), ""),
@@ -96,7 +96,8 @@
 		fact("not sent", verdicts[load.NotSent], "the generator had too many requests under way"),
 		fact("runs at upstreams", len(e.upstreams.Runs), ""),
 		fact("failed attempts at killed host", failed, fmt.Sprintf("%d requests, %d of them resolved by a repeat", requests, resolved)),
-		fact("429 within rate and burst", wrongful, fmt.Sprintf("of %d first attempts that one central bucket would have admitted", asked)),
+		fact("429 within rate and burst", wrongful.refused, fmt.Sprintf("%d of them in the first %v; of %d first attempts of customers within their rate",
+			wrongful.early, startTime, wrongful.admitted)),
 	}
 }
 
