Restart the watch of the head from the store's current version

Cause: a watch from a version that the store no longer holds fails for ever. Result: builds; the failing watch is covered by store: TestCompactedWatch and its restart by no test yet.

--- a/host/outside.go
+++ b/host/outside.go
@@ -211,6 +211,8 @@
 		since = changes.Version
 		if err != nil {
 			pause(ctx, watchRetryInterval)
+			// The store may no longer hold the changes since the last version.
+			since, _ = h.objects.CurrentVersion(ctx, headKind)
 		}
 	}
 }
