--- a/membership/duty.go
+++ b/membership/duty.go
@@ -33,7 +33,7 @@
 	if m.store.open || m.now.Instant < m.duty.next || m.now.Instant < m.store.notBefore || m.store.mustRead {
 		return
 	}
-	m.duty.next = m.now.Instant.Add(m.o.LeaseDuration / dutiesPerLease)
+	m.duty.next = m.now.Instant.Add(dutyInterval)
 	if m.known == nil {
 		if m.leaving.asked {
 			m.leftBeforeJoining()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,9 +20,12 @@
 const (
 	heartbeatsPerLease = 8
 	readsPerLease      = 3
-	dutiesPerLease     = 32
 )
 
+// dutyInterval is the shortest time between two updates of the roster by one
+// host. It lets confirmations that arrive together go into one update.
+const dutyInterval = 100 * time.Millisecond
+
 // marginFloor is the fixed part of the margin that a waiting side adds for the
 // drift of clocks; the other part is a hundredth of the lease.
 const marginFloor = 100 * time.Millisecond
