Harden membership against damaged messages

Cause: a peer may send any message; a result for an earlier machine of the same process must not match a new call. Change: unknown incarnations of known hosts are strangers, store call ids start at random, changes of state and a lost majority are events; fuzz target over every message.

--- a/membership/duty.go
+++ b/membership/duty.go
@@ -15,6 +15,8 @@
 	// idle is the generation in which nothing is left to do unless a member
 	// falls silent; 0 for none.
 	idle uint64
+	// lost is true while a majority of the voters does not answer.
+	lost bool
 }
 
 // leaveState follows the departure of this host.
@@ -261,6 +263,7 @@
 // cellDuty returns the roster with every change that is due, or nil.
 func (m *Membership) cellDuty() *roster {
 	r := m.update()
+	m.reportMajority()
 	changed := m.markSilent(r)
 	changed = m.fenceRetired(r) || changed
 	m.mergeUncommitted(r)
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -74,6 +74,9 @@
 		return
 	}
 	p := m.peers[e.Incarnation]
+	if p == nil {
+		return
+	}
 	h.To = shortIncarnation(e.Incarnation)
 	h.Seen = p.sequence
 	if m.acknowledges(e, p) {
@@ -138,7 +141,7 @@
 
 func (m *Membership) receiveHeartbeat(from fleet.Member, h Heartbeat) {
 	p := m.peers[from.Incarnation]
-	if p == nil {
+	if p == nil || p.host != from.Host {
 		m.receiveStranger(from, h)
 		return
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -175,6 +175,8 @@
 	m.started = m.now.Instant
 	m.heartbeat.next = m.now.Instant
 	m.lease = m.now.Instant
+	// A result for an earlier machine of the process must not match a call.
+	m.store.id = m.o.Rand.Uint64()
 }
 
 func (m *Membership) apply(in machine.Input) {
--- a/membership/retire.go
+++ b/membership/retire.go
@@ -43,6 +43,21 @@
 	return heard < majority(m.known.voters())
 }
 
+// reportMajority reports when a majority of the voters stops or starts to answer.
+func (m *Membership) reportMajority() {
+	lost := m.majorityLost()
+	if lost == m.duty.lost {
+		return
+	}
+	m.duty.lost = lost
+	if lost {
+		wait := m.o.LeaseDuration + m.wait()
+		m.event("majority-lost", m.o.Cell, "members that were replaced are fenced when they were silent for "+wait.String())
+		return
+	}
+	m.event("majority-back", m.o.Cell, "")
+}
+
 // replaced reports whether a host that does not answer has been replaced at its
 // address, or is no longer on the platform's list.
 func (m *Membership) replaced(e *entry) bool {
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -10,6 +11,7 @@
 
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
+	connections "github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/store"
 )
 
@@ -172,3 +174,44 @@
 		}
 	})
 }
+
+// FuzzReceive guards against a panic on any message that a peer can send, and
+// against a roster from a peer that hands out more than the whole.
+func FuzzReceive(f *testing.F) {
+	codec, err := connections.NewCodec(Messages())
+	require.NoError(f, err)
+	self := fleet.Member{Host: "a", Incarnation: fleet.Incarnation{1}}
+	other := fleet.Member{Host: "b", Incarnation: fleet.Incarnation{2}}
+	r := &roster{Generation: 2, Config: 1}
+	for _, member := range []fleet.Member{self, other} {
+		r.Entries = append(r.Entries, entry{Host: member.Host, Incarnation: member.Incarnation, State: stateActive, Voter: true})
+	}
+	r.balance(0)
+	value, err := r.encode()
+	require.NoError(f, err)
+	for _, message := range []machine.Message{
+		Heartbeat{Sequence: 1, To: shortIncarnation(self.Incarnation), Seen: 1, Flags: 15, Generation: 3, ReadAge: 5, Revision: 2},
+		RosterRequest{Generation: 1}, RosterUpdate{Version: 9, Value: value},
+	} {
+		wire, err := codec.Encode(message)
+		require.NoError(f, err)
+		f.Add(wire)
+	}
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		message, err := codec.Decode(wire)
+		if err != nil {
+			return
+		}
+		m := New(Options{Self: self, LeaseDuration: lease, Rand: rand.New(rand.NewPCG(1, 1))})
+		now := machine.Now{Instant: 1}
+		m.Step(now, machine.Tick{})
+		known := r.clone()
+		known.Generation = 1
+		m.adopt(known, 1, value)
+		for range 3 {
+			now.Instant += machine.Instant(lease)
+			m.Step(now, machine.Received{From: other, Message: message})
+			m.Step(now, machine.Tick{})
+		}
+	})
+}
--- a/membership/storecalls.go
+++ b/membership/storecalls.go
@@ -168,10 +168,28 @@
 	s.absent = false
 	s.behind = false
 	m.noteRead(in.Started, proposal.Generation)
+	m.reportChanges(proposal)
 	m.adopt(proposal, in.Version, s.value)
 	m.pushRoster()
 }
 
+// reportChanges puts the changes of state of an own update on the time line.
+func (m *Membership) reportChanges(r *roster) {
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		var old *entry
+		if m.known != nil {
+			old = m.known.find(e.Incarnation)
+		}
+		if old == nil || old.State != e.State {
+			m.event("member-"+string(fleetStates[e.State]), e.member().String(), "")
+		}
+		if e.Fenced && (old == nil || !old.Fenced) {
+			m.event("member-fenced", e.member().String(), "its weight and partitions are free")
+		}
+	}
+}
+
 // propose writes a roster in place of the known one.
 func (m *Membership) propose(r *roster) {
 	r.sort()
--- a/membership/view.go
+++ b/membership/view.go
@@ -142,6 +142,9 @@
 		return v
 	}
 	p := m.peers[e.Incarnation]
+	if p == nil {
+		return v
+	}
 	v.Load = p.load
 	v.Reachable = p.everHeard && m.now.Instant.Sub(p.answered) <= m.o.LeaseDuration
 	if p.draining && e.State == stateActive {
