Test two connections between the same hosts

Cause: simultaneous dials must not end with both connections closed. Change: TestDuplicateConnections.

--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinspring/catkinspring/fleet"
@@ -235,6 +236,25 @@
 	require.Equal(t, received{member("b", 3), note{Index: 2}}, await(t, a.in))
 }
 
+// TestDuplicateConnections guards against two hosts that dial each other at the
+// same time and each close the connection that the other one keeps.
+func TestDuplicateConnections(t *testing.T) {
+	a, b := pair(t)
+	require.NoError(t, a.Send("b", note{Index: 0}))
+	await(t, b.in)
+	group := conc.NewWaitGroup()
+	group.Go(func() { b.dial("a", a.Address()) })
+	group.Wait()
+	require.Positive(t, a.count("connections.duplicate")+b.count("connections.duplicate"))
+	for i := 1; i <= 3; i++ {
+		require.NoError(t, a.Send("b", note{Index: i}))
+		require.Equal(t, i, await(t, b.in).note.Index)
+		require.NoError(t, b.Send("a", note{Index: i}))
+		require.Equal(t, i, await(t, a.in).note.Index)
+	}
+	require.EqualValues(t, 1, b.count("connections"), "the connection of the lower id stays")
+}
+
 // TestSlowPeer guards against a caller that waits for a peer which reads nothing.
 func TestSlowPeer(t *testing.T) {
 	a, b := pair(t)
