--- a/operations/handover.go
+++ b/operations/handover.go
@@ -15,10 +15,14 @@
 )
 
 // askForHandover asks a live previous owner for its claims and reports whether
-// to wait for them.
+// to wait for them. If that owner granted nothing, the one before it is asked;
+// if no view named that one, the request goes to all hosts.
 func (m *Machine) askForHandover(a *adoption) bool {
-	previous := a.ownership.Previous
-	if previous == m.o.Self || !m.live[previous.Incarnation] {
+	owner, named := m.owners[a.partition][a.tenure]
+	if a.unserved || named && !m.live[owner.Incarnation] {
+		return false
+	}
+	if m.takeOwnHandover(a) {
 		return false
 	}
 	patience := handoverPatience
@@ -28,10 +32,29 @@
 	if a.hasAnchor && m.now.Instant.Sub(a.started) > patience {
 		return false
 	}
-	if a.asked == 0 || m.now.Instant.Sub(a.asked) >= handoverRetry {
-		a.asked = m.now.Instant
-		m.send(previous.Host, HandoverRequest{Partition: uint8(a.partition), Epoch: a.ownership.Epoch})
+	if a.asked != 0 && m.now.Instant.Sub(a.asked) < handoverRetry {
+		return true
+	}
+	a.asked = m.now.Instant
+	request := HandoverRequest{Partition: uint8(a.partition), Epoch: a.ownership.Epoch, Tenure: a.tenure, Named: named}
+	for i := range m.view.Members {
+		member := m.view.Members[i].Member
+		if member != m.o.Self && m.live[member.Incarnation] && (!named || member == owner) {
+			m.send(member.Host, request)
+		}
+	}
+	return true
+}
+
+// takeOwnHandover continues with the claims of an earlier tenure of this host
+// if nobody granted any after it.
+func (m *Machine) takeOwnHandover(a *adoption) bool {
+	p := &m.partitions[a.partition]
+	if !p.kept || p.keptEpoch != a.tenure {
+		return false
 	}
+	a.handover = true
+	p.serving = true
 	return true
 }
 
@@ -39,14 +62,18 @@
 // view, under which this host does not act on the partition any more, was in
 // force before, so the claims are final.
 func (m *Machine) receiveHandoverRequest(from fleet.Member, r HandoverRequest) {
-	if int(r.Partition) >= fleet.Partitions {
+	if int(r.Partition) >= fleet.Partitions || m.view == nil {
 		return
 	}
 	p := &m.partitions[r.Partition]
-	if p.owned || !p.kept || p.keptEpoch+1 != r.Epoch {
+	if p.owned || m.view.Partitions[r.Partition].Epoch < r.Epoch {
+		return
+	}
+	if !p.kept || p.keptEpoch != r.Tenure {
+		m.sendUnserved(from, r)
 		return
 	}
-	chunk := HandoverChunk{Partition: r.Partition, Epoch: r.Epoch, To: from.Incarnation, UnknownBefore: p.unknownBefore}
+	chunk := HandoverChunk{Partition: r.Partition, Epoch: r.Epoch, Tenure: r.Tenure, To: from.Incarnation, UnknownBefore: p.unknownBefore}
 	size := 0
 	for _, e := range sortedEntries(m.entriesOf(int(r.Partition))) {
 		if size > 0 && size+e.size() > chunkBytes {
@@ -62,14 +89,46 @@
 	m.send(from.Host, chunk)
 }
 
-// receiveHandoverChunk collects the claims of the previous owner.
+// sendUnserved says that this host granted nothing in a tenure, if it can tell.
+// It may have missed a short tenure of its own altogether.
+func (m *Machine) sendUnserved(from fleet.Member, r HandoverRequest) {
+	p := &m.partitions[r.Partition]
+	missed := r.Named && p.epoch < r.Tenure
+	if p.epoch != r.Tenure && !missed {
+		return
+	}
+	m.send(from.Host, HandoverChunk{
+		Partition: r.Partition, Epoch: r.Epoch, Tenure: r.Tenure, To: from.Incarnation,
+		Unserved: true, Doubtful: missed || p.doubtful,
+	})
+}
+
+// receiveUnserved turns to the tenure before one in which nothing was granted.
+func (m *Machine) receiveUnserved(a *adoption, doubtful bool) {
+	a.tenure--
+	a.asked = 0
+	if !doubtful || a.tenure == 0 {
+		a.unserved = true
+		a.ownership.PreviousUncommitted = false
+	}
+	m.adopt(a)
+}
+
+// receiveHandoverChunk collects the claims of an earlier owner.
 func (m *Machine) receiveHandoverChunk(from fleet.Member, c HandoverChunk) {
 	if int(c.Partition) >= fleet.Partitions || c.To != m.o.Self.Incarnation {
 		return
 	}
 	a := m.partitions[c.Partition].adopting
 	wanted := a != nil && !a.handover && !a.importing && !a.reading
-	if !wanted || a.ownership.Epoch != c.Epoch || a.ownership.Previous != from {
+	if !wanted || a.ownership.Epoch != c.Epoch || a.tenure != c.Tenure {
+		return
+	}
+	if owner, named := m.owners[c.Partition][c.Tenure]; named && owner != from {
+		return
+	}
+	if c.Unserved {
+		m.receiveUnserved(a, c.Doubtful)
 		return
 	}
 	if a.chunks == nil {
--- a/operations/machine.go
+++ b/operations/machine.go
@@ -30,12 +30,14 @@
 	store      storeClient
 	table      *table
 	partitions [fleet.Partitions]partition
-	log        claimLog
-	mode       commitMode
-	requester  requester
-	sealing    map[fleet.Incarnation]*logReader
-	offered    machine.Instant
-	garbage    []*garbageLog
+	// owners holds the last owners of each partition by epoch, as views named them.
+	owners    [fleet.Partitions]map[uint64]fleet.Member
+	log       claimLog
+	mode      commitMode
+	requester requester
+	sealing   map[fleet.Incarnation]*logReader
+	offered   machine.Instant
+	garbage   []*garbageLog
 }
 
 // New returns the state machine of a new incarnation.
@@ -136,6 +138,7 @@
 			m.live[member.Incarnation] = true
 		}
 	}
+	m.noteOwners()
 	m.updatePartitions()
 	m.answerOrphans()
 	m.requester.viewChanged()
--- /dev/null
+++ b/operations/matrix_test.go
@@ -0,0 +1,349 @@
+package operations
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/faulttest"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/membership"
+)
+
+const (
+	startTime   = 4 * time.Second
+	trafficTime = 5 * time.Second
+	// healTime covers a retirement, the lease of the retired host and a takeover.
+	healTime  = 4 * testLease
+	callWait  = 1500 * time.Millisecond
+	maxTries  = 8
+	callEvery = 120 * time.Millisecond
+)
+
+// matrixPlay starts a cell and lets callers ask for ids while faults happen.
+func matrixPlay(c *cell) {
+	c.startAll()
+	c.rig.Run(startTime)
+	key := ""
+	for i := range int(trafficTime / callEvery) {
+		if i%2 == 0 {
+			key = c.newKey(i)
+		}
+		host := c.hosts[(i*7+i/3)%len(c.hosts)]
+		c.caller(host, key, 0)
+		if i%5 == 0 {
+			c.caller(c.hosts[(i+2)%len(c.hosts)], key, 0)
+		}
+		c.rig.Run(callEvery)
+	}
+}
+
+// newKey returns a UUID of version 7 or, for every third n, another text.
+func (c *cell) newKey(n int) string {
+	if n%3 == 0 {
+		return fmt.Sprintf("id-%02d", n)
+	}
+	return c.timedKey(n)
+}
+
+// timedKey returns a UUID of version 7 with the present time.
+func (c *cell) timedKey(n int) string {
+	millis := c.running[c.hosts[0]].node.Time().WallMillis
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", millis>>16, millis&0xffff, n)
+}
+
+// heal ends every fault.
+func (c *cell) heal() {
+	c.rig.Heal()
+	c.rig.Store.SetDown(false)
+	c.rig.Store.Latency = 5 * time.Millisecond
+	for _, id := range c.hosts {
+		c.rig.Store.CutHost(id, false)
+	}
+	for _, p := range c.all {
+		if !p.node.Killed() {
+			p.node.Resume()
+		}
+	}
+}
+
+// caller asks hosts for an id until it knows how the operation ended.
+func (c *cell) caller(host fleet.HostID, key string, tries int) {
+	p := c.running[host]
+	again := func() { c.again(host, key, tries) }
+	if p.node.Killed() || p.retired {
+		c.rig.After(50*time.Millisecond, again)
+		return
+	}
+	k := c.call(host, key, callWait, func(k *call) {
+		if k.decision == DecisionUnavailable || k.decision == DecisionRunning {
+			c.rig.After(100*time.Millisecond, again)
+		}
+	})
+	c.rig.After(callWait+time.Second, func() {
+		if k.decision == 0 && p.waiting[k.attempt] == k {
+			c.rig.Logf("caller of %s at %s gets no answer", key, host)
+			k.then = nil
+			again()
+		}
+	})
+}
+
+func (c *cell) again(host fleet.HostID, key string, tries int) {
+	if tries >= maxTries {
+		return
+	}
+	for i, id := range c.hosts {
+		if id == host {
+			c.caller(c.hosts[(i+1)%len(c.hosts)], key, tries+1)
+			return
+		}
+	}
+}
+
+// finalCalls asks for each id at two hosts, and for a new id at each host.
+func (c *cell) finalCalls() {
+	seen := map[string]bool{}
+	var alive []fleet.HostID
+	for _, id := range c.hosts {
+		if !c.gone[id] {
+			alive = append(alive, id)
+		}
+	}
+	for _, k := range append([]*call(nil), c.calls...) {
+		if seen[k.id.Key] {
+			continue
+		}
+		seen[k.id.Key] = true
+		c.call(alive[0], k.id.Key, callWait, nil)
+		c.rig.Run(60 * time.Millisecond)
+		c.call(alive[len(alive)-1], k.id.Key, callWait, nil)
+	}
+	c.rig.Run(2 * time.Second)
+	var fresh []*call
+	for i, id := range alive {
+		for n := range 3 {
+			fresh = append(fresh, c.call(id, c.timedKey(1000+10*i+n), callWait, nil))
+		}
+	}
+	c.rig.Run(2 * time.Second)
+	for _, k := range fresh {
+		if k.decision != DecisionGranted && !k.released {
+			c.violate("new id %s at %s after the heal: decision %d", k.id.Key, k.host.node.Member, k.decision)
+		}
+	}
+}
+
+// Check heals everything, asks again for each id and for new ones, and returns
+// the violations of the invariants. It is not part of Run, so that no fault
+// starts after the heal.
+func (c *cell) Check() []string {
+	c.heal()
+	c.rig.Run(healTime)
+	c.finalCalls()
+	byID := map[string][]*call{}
+	var order []string
+	for _, k := range c.calls {
+		if byID[k.id.Key] == nil {
+			order = append(order, k.id.Key)
+		}
+		byID[k.id.Key] = append(byID[k.id.Key], k)
+	}
+	for _, key := range order {
+		c.checkID(key, byID[key])
+	}
+	return c.violations
+}
+
+// checkID guards what callers rely on: at most one execution, refusals that are
+// true, repeats that agree, and unknown outcomes only where something was lost.
+func (c *cell) checkID(key string, calls []*call) {
+	executions := c.executions[operation(key)]
+	if len(executions) > 1 {
+		c.violate("%s ran %d times", key, len(executions))
+	}
+	lost := false
+	for _, k := range calls {
+		lost = lost || k.host.node.Killed() || k.host.retired || k.host.left
+		lost = lost || k.executed && k.decision == DecisionUnknown
+	}
+	result, ranAt := "", machine.Instant(0)
+	for _, k := range calls {
+		switch k.decision {
+		case DecisionUnavailable:
+			if k.executed {
+				c.violate("%s was refused as not run at %s and ran", key, k.host.node.Member)
+			}
+		case DecisionGranted, DecisionRan:
+			if len(executions) == 0 {
+				c.violate("%s was answered and never ran", key)
+			}
+			if result != "" && k.result != result {
+				c.violate("%s was answered %q and %q", key, result, k.result)
+			}
+			result = k.result
+			if ranAt == 0 || k.ended < ranAt {
+				ranAt = k.ended
+			}
+		case DecisionUnknown:
+			if !lost && !c.uncommittedTakeover() {
+				c.violate("%s is unknown at %s although nothing was lost", key, k.host.node.Member)
+			}
+		}
+	}
+	for _, k := range calls {
+		late := ranAt != 0 && k.started > ranAt
+		if late && k.decision == DecisionUnknown && !c.uncommittedTakeover() {
+			c.violate("%s was answered with its result and later as unknown", key)
+		}
+	}
+}
+
+// uncommittedTakeover reports whether a host that granted from memory was
+// replaced.
+func (c *cell) uncommittedTakeover() bool { return c.declared && c.died }
+
+// lastCall is the most recent request of a caller.
+func (c *cell) lastCall() *call {
+	if len(c.calls) == 0 {
+		return nil
+	}
+	return c.calls[len(c.calls)-1]
+}
+
+// owner returns the owner of the id that was asked for last.
+func (c *cell) owner() fleet.HostID {
+	k := c.lastCall()
+	if k == nil {
+		return c.hosts[0]
+	}
+	if view := k.host.view; view != nil {
+		if owner := view.Partitions[PartitionOf(k.id)].Owner; owner.Host != "" {
+			return owner.Host
+		}
+	}
+	return c.hosts[0]
+}
+
+// requester returns a host that asked for an id last and does not own it.
+func (c *cell) requester() fleet.HostID {
+	owner := c.owner()
+	for i := len(c.calls) - 1; i >= 0; i-- {
+		if host := c.calls[i].host.node.Member.Host; host != owner {
+			return host
+		}
+	}
+	return c.hosts[1]
+}
+
+func on(apply func(c *cell)) func(s faulttest.Scenario) {
+	return func(s faulttest.Scenario) { apply(s.(*cell)) }
+}
+
+// pause holds a host back for a time.
+func (c *cell) pause(id fleet.HostID, d time.Duration) {
+	n := c.running[id].node
+	n.Pause()
+	c.rig.After(d, n.Resume)
+}
+
+// keepOne refuses to remove hosts that a majority needs.
+func (c *cell) mayLose() bool { return len(c.gone) == 0 }
+
+var matrixFaults = []faulttest.Fault{
+	{Name: "kill-owner", Apply: on(func(c *cell) {
+		if c.mayLose() {
+			c.kill(c.owner())
+		}
+	})},
+	{Name: "kill-requester", Apply: on(func(c *cell) {
+		if c.mayLose() {
+			c.kill(c.requester())
+		}
+	})},
+	{Name: "replace-owner", Apply: on(func(c *cell) { c.replace(c.owner()) })},
+	{Name: "replace-requester", Apply: on(func(c *cell) { c.replace(c.requester()) })},
+	{Name: "pause-owner", Apply: on(func(c *cell) { c.pause(c.owner(), 2*testLease) })},
+	{Name: "pause-requester", Apply: on(func(c *cell) { c.pause(c.requester(), 2*testLease) })},
+	{Name: "blink-owner", Apply: on(func(c *cell) { c.pause(c.owner(), 300*time.Millisecond) })},
+	{Name: "cut", Apply: on(func(c *cell) { c.rig.CutBoth(c.owner(), c.requester()) })},
+	{Name: "cut-answers", Apply: on(func(c *cell) { c.rig.Cut(c.owner(), c.requester()) })},
+	{Name: "cut-requests", Apply: on(func(c *cell) { c.rig.Cut(c.requester(), c.owner()) })},
+	{Name: "isolate-owner", Apply: on(func(c *cell) { c.rig.Isolate(c.owner()) })},
+	{Name: "region-cut", Apply: on(func(c *cell) {
+		c.rig.Isolate(c.hosts[0])
+		c.rig.Isolate(c.hosts[3])
+		c.rig.Store.CutHost(c.hosts[0], true)
+	})},
+	{Name: "slow-link", Apply: on(func(c *cell) { c.rig.Slow(c.owner(), c.requester(), 700*time.Millisecond) })},
+	{Name: "drop", Apply: on(func(c *cell) { c.rig.DropNext(6) })},
+	{Name: "duplicate", Apply: on(func(c *cell) { c.rig.DuplicateNext(12) })},
+	{Name: "reorder", Apply: on(func(c *cell) { c.rig.DelayNext(400 * time.Millisecond) })},
+	{Name: "store-outage", Apply: on(func(c *cell) { c.rig.Store.SetDown(true) })},
+	{Name: "store-blink", Apply: on(func(c *cell) {
+		c.rig.Store.SetDown(true)
+		c.rig.After(time.Second, func() { c.rig.Store.SetDown(false) })
+	})},
+	{Name: "store-cut-owner", Apply: on(func(c *cell) { c.rig.Store.CutHost(c.owner(), true) })},
+	{Name: "slow-store", Apply: on(func(c *cell) { c.rig.Store.Latency = 350 * time.Millisecond })},
+	{Name: "lost-answers", Apply: on(func(c *cell) { c.rig.Store.LoseAnswers(4) })},
+	{Name: "leave", Apply: on(func(c *cell) {
+		if c.mayLose() {
+			if p := c.running[c.owner()]; p.valid() {
+				c.rig.Inject(p.node, membership.Leave{})
+			}
+		}
+	})},
+}
+
+// pairFaults are the faults that are combined with each other.
+var pairFaults = []string{
+	"kill-owner", "replace-owner", "replace-requester", "pause-owner", "pause-requester",
+	"isolate-owner", "store-outage", "store-blink", "store-cut-owner", "lost-answers", "leave",
+}
+
+func faultsNamed(names ...string) []faulttest.Fault {
+	var faults []faulttest.Fault
+	for _, f := range matrixFaults {
+		if slices.Contains(names, f.Name) {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
+
+func newMatrix(seed uint64, build func(self fleet.Member) machine.Machine) *faulttest.Matrix {
+	return &faulttest.Matrix{
+		Module:    "operations",
+		Seeds:     []uint64{seed},
+		PairDelay: 600 * time.Millisecond,
+		Build: func(seed uint64) faulttest.Scenario {
+			c := newCell(seed, 4, build)
+			c.play = matrixPlay
+			return c
+		},
+	}
+}
+
+// TestMatrix runs each fault at many steps, and pairs of faults, against the
+// invariants of at-most-once operations. Each seed runs in parallel.
+func TestMatrix(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("singles-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			m := newMatrix(seed, buildMachine)
+			m.Faults = matrixFaults
+			m.MaxSteps = 3
+			m.Run(t)
+		})
+		t.Run(fmt.Sprintf("pairs-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			m := newMatrix(seed+10, buildMachine)
+			m.Faults = faultsNamed(pairFaults...)
+			m.PairSteps = 1
+			m.Run(t)
+		})
+	}
+}
--- a/operations/messages.go
+++ b/operations/messages.go
@@ -135,11 +135,16 @@
 // MessageNumber returns 403.
 func (ReportAnswer) MessageNumber() uint16 { return numberReportAnswer }
 
-// HandoverRequest asks the previous owner of a partition for its claims.
+// HandoverRequest asks for the claims of a partition.
 type HandoverRequest struct {
 	_         struct{} `cbor:",toarray"`
 	Partition uint8
-	Epoch     uint64
+	// Epoch is that of the sender.
+	Epoch uint64
+	// Tenure is the earlier epoch whose owner is asked.
+	Tenure uint64
+	// Named is true if the receiver is known to have been the owner in that epoch.
+	Named bool
 }
 
 // MessageNumber returns 404.
@@ -150,9 +155,15 @@
 	_         struct{} `cbor:",toarray"`
 	Partition uint8
 	Epoch     uint64
+	Tenure    uint64
 	To        fleet.Incarnation
 	Index     uint32
 	Last      bool
+	// Unserved is true if the sender never knew the claims of the partition in
+	// that tenure, so that it granted nothing. Records is then empty, and Doubtful
+	// says whether an earlier owner may have granted claims that no log holds.
+	Unserved bool
+	Doubtful bool
 	// UnknownBefore is that of the sender for the partition.
 	UnknownBefore int64
 	Records       []record
--- a/operations/partition.go
+++ b/operations/partition.go
@@ -32,8 +32,11 @@
 	anchored bool
 	// kept is true while the entries of a partition that was given up are kept
 	// for the next owner, keptEpoch the epoch in which they were complete.
-	kept          bool
-	keptEpoch     uint64
+	kept      bool
+	keptEpoch uint64
+	// doubtful is true if the owner before this one may have granted claims that
+	// no log holds.
+	doubtful      bool
 	unknownBefore int64
 	adopting      *adoption
 }
@@ -63,8 +66,36 @@
 	// overtaken is true if the anchor names an owner of a later epoch.
 	overtaken bool
 
+	// tenure is the earlier epoch whose claims are asked for.
+	tenure   uint64
 	chunks   map[uint32]HandoverChunk
 	handover bool
+	// unserved is true if the previous owner said that it granted nothing.
+	unserved bool
+}
+
+// rememberedOwners is the number of owners of a partition that are remembered.
+const rememberedOwners = 16
+
+// noteOwners remembers who owned each partition.
+func (m *Machine) noteOwners() {
+	for i := range m.view.Partitions {
+		v := &m.view.Partitions[i]
+		owners := m.owners[i]
+		if owners == nil {
+			owners = map[uint64]fleet.Member{}
+			m.owners[i] = owners
+		}
+		if v.Owner.Host != "" {
+			owners[v.Epoch] = v.Owner
+		}
+		if v.Epoch > 0 {
+			owners[v.Epoch-1] = v.Previous
+		}
+		if v.Epoch > rememberedOwners {
+			delete(owners, v.Epoch-rememberedOwners)
+		}
+	}
 }
 
 // updatePartitions follows the ownership in a new view.
@@ -79,7 +110,8 @@
 		if owns && !p.owned {
 			p.owned = true
 			p.epoch = v.Epoch
-			p.adopting = &adoption{partition: i, ownership: v, started: m.now.Instant}
+			p.doubtful = v.PreviousUncommitted
+			p.adopting = &adoption{partition: i, ownership: v, tenure: v.Epoch - 1, started: m.now.Instant}
 			m.readAnchor(p.adopting)
 		}
 	}
@@ -190,7 +222,12 @@
 		}
 		return
 	}
-	if m.askForHandover(a) || !a.hasAnchor {
+	waits := m.askForHandover(a)
+	if a.handover {
+		m.adopt(a)
+		return
+	}
+	if waits || !a.hasAnchor {
 		return
 	}
 	owner := a.anchor.Owner
@@ -312,7 +349,7 @@
 }
 
 func (m *Machine) restartAdoption(a *adoption, held stored) {
-	fresh := &adoption{partition: a.partition, ownership: a.ownership, started: a.started}
+	fresh := &adoption{partition: a.partition, ownership: a.ownership, tenure: a.ownership.Epoch - 1, started: a.started}
 	m.partitions[a.partition].adopting = fresh
 	m.partitions[a.partition].serving = false
 	m.anchorRead(fresh, held)
--- a/operations/rig_test.go
+++ b/operations/rig_test.go
@@ -22,6 +22,7 @@
 	node       *faulttest.Node
 	membership *membership.Membership
 	operations machine.Machine
+	view       *fleet.View
 	until      machine.Instant
 	retired    bool
 	left       bool
@@ -64,6 +65,7 @@
 			o.ID *= 2
 			out = append(out, o)
 		case membership.ViewPublished:
+			p.view = o.View
 			out = append(out, p.stepOperations(now, machine.ViewChanged{View: o.View})...)
 		case membership.LeaseRenewed:
 			p.until = o.ValidUntil
