--- /dev/null
+++ b/operations/client_test.go
@@ -0,0 +1,138 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// clientRig answers the inputs of a client from a script.
+type clientRig struct {
+	client *Client
+	now    machine.Instant
+	until  machine.Instant
+	full   bool
+	decide []Decided
+	posted []machine.Input
+}
+
+func (r *clientRig) Now() machine.Now            { return machine.Now{Instant: r.now} }
+func (r *clientRig) ValidUntil() machine.Instant { return r.until }
+
+func (r *clientRig) post(in machine.Input) bool {
+	if r.full {
+		return false
+	}
+	r.posted = append(r.posted, in)
+	if b, ok := in.(Begin); ok {
+		for _, d := range r.decide {
+			d.Attempt = b.Attempt
+			r.client.Deliver(d)
+		}
+	}
+	return true
+}
+
+func newClientRig(decide ...Decided) *clientRig {
+	r := &clientRig{until: 10, decide: decide}
+	r.client = NewClient(r.post, r, r, metrics.NewRegistry())
+	return r
+}
+
+func (r *clientRig) claim(ctx context.Context) (traffic.Claim, *traffic.OperationResult, error) {
+	return r.client.Claim(ctx, traffic.Operation{ID: operation("a"), Fingerprint: 1})
+}
+
+func (r *clientRig) endings() []Ending {
+	var endings []Ending
+	for _, in := range r.posted {
+		if f, ok := in.(Finish); ok {
+			endings = append(endings, f.Ending)
+		}
+	}
+	return endings
+}
+
+// TestClaimEndsOnce guards against a claim that is completed and released, and
+// against one that counts as valid after the lease or after it was overtaken.
+func TestClaimEndsOnce(t *testing.T) {
+	r := newClientRig(Decided{Decision: DecisionGranted})
+	held, _, err := r.claim(context.Background())
+	require.NoError(t, err)
+	require.True(t, held.Valid())
+	r.now = 10
+	require.False(t, held.Valid(), "after the lease")
+	r.now = 5
+	r.client.Deliver(Decided{Attempt: 1, Decision: DecisionUnknown})
+	require.False(t, held.Valid(), "overtaken")
+	r.full = true
+	held.Complete(traffic.OperationResult{Status: 200})
+	held.Release()
+	held.Abandon()
+	require.Empty(t, r.endings())
+	r.full = false
+	r.client.Flush()
+	require.Equal(t, []Ending{EndingComplete}, r.endings())
+}
+
+// TestClaimGivenUp guards against a grant that stays with a caller that left:
+// a late one must be released.
+func TestClaimGivenUp(t *testing.T) {
+	for _, decisions := range [][]Decided{nil, {{Decision: DecisionWaiting}}} {
+		r := newClientRig(decisions...)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, _, err := r.claim(ctx)
+		var refused *problem.Error
+		require.True(t, errors.As(err, &refused))
+		want := problem.KindClaimUnavailable
+		if decisions != nil {
+			want = problem.KindOperationRunning
+		}
+		require.Equal(t, want, refused.Kind)
+		r.client.Deliver(Decided{Attempt: 1, Decision: DecisionGranted})
+		require.Equal(t, []Ending{EndingRelease, EndingRelease}, r.endings())
+	}
+}
+
+// TestRefusals guards against an outcome that is not true: "not run" only where
+// nothing of the id ran.
+func TestRefusals(t *testing.T) {
+	body := &traffic.OperationResult{Status: 201, Body: []byte("x")}
+	dropped := &traffic.OperationResult{Status: 201, BodyDropped: true}
+	r := newClientRig(Decided{Decision: DecisionRan, Result: body})
+	_, result, err := r.claim(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, body, result)
+	for _, c := range []struct {
+		decided Decided
+		kind    problem.Kind
+		outcome problem.Outcome
+	}{
+		{Decided{Decision: DecisionRan, Result: dropped}, problem.KindOperationRan, problem.OutcomeRun},
+		{Decided{Decision: DecisionRunning}, problem.KindOperationRunning, problem.OutcomeUnknown},
+		{Decided{Decision: DecisionUnknown}, problem.KindOperationUnknown, problem.OutcomeUnknown},
+		{Decided{Decision: DecisionMismatch}, problem.KindIdempotencyMismatch, problem.OutcomeNotRun},
+		{Decided{Decision: DecisionAhead}, problem.KindOperationTime, problem.OutcomeNotRun},
+		{Decided{Decision: DecisionTooOld}, problem.KindOperationTime, problem.OutcomeUnknown},
+		{Decided{Decision: DecisionFull}, problem.KindClaimUnavailable, problem.OutcomeNotRun},
+		{Decided{Decision: DecisionUnavailable}, problem.KindClaimUnavailable, problem.OutcomeNotRun},
+	} {
+		_, _, err := newClientRig(c.decided).claim(context.Background())
+		var refused *problem.Error
+		require.True(t, errors.As(err, &refused))
+		require.Equal(t, c.kind, refused.Kind)
+		require.Equal(t, c.outcome, refused.Outcome, c.kind)
+	}
+	past := traffic.Operation{ID: operation("a"), Deadline: time.Unix(1, 0)}
+	_, _, err = newClientRig(Decided{Decision: DecisionGranted}).client.Claim(context.Background(), past)
+	require.Error(t, err, "a deadline that has passed")
+}
--- a/operations/log.go
+++ b/operations/log.go
@@ -124,9 +124,13 @@
 	})
 }
 
-// mayWrite applies the pacing.
+// mayWrite applies the pacing. Half of the burst is left to claims that wait.
 func (l *claimLog) mayWrite() bool {
-	return l.paced.Sub(l.m.now.Instant) <= writeInterval*writeBurst
+	allowance := writeInterval * writeBurst
+	if len(l.m.mode.waiting) == 0 {
+		allowance /= 2
+	}
+	return l.paced.Sub(l.m.now.Instant) <= allowance
 }
 
 // fill moves items into the batch up to a size and returns the others.
--- /dev/null
+++ b/operations/log_test.go
@@ -0,0 +1,174 @@
+package operations
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// scriptedCell is a cell under scripted views whose partitions are adopted.
+func scriptedCell(seed uint64, hosts int) *cell {
+	c := newCell(seed, hosts, buildMachine)
+	c.views = newViewService(c)
+	c.startAll()
+	c.rig.Run(3 * time.Second)
+	return c
+}
+
+// TestLogIsMerged guards against a log that grows without bound, and against a
+// takeover that misses ids or brings a released id back because segments were
+// merged and deleted.
+func TestLogIsMerged(t *testing.T) {
+	c := scriptedCell(2, 1)
+	for i := range 400 {
+		c.call("host-00", fmt.Sprintf("id-%d", i), time.Second, nil)
+		c.rig.Run(50 * time.Millisecond)
+	}
+	c.rig.Run(2 * time.Second)
+	owner := c.running["host-00"].operations.(*Machine)
+	require.Less(t, len(owner.log.segments), cleanAfter+8)
+	segments := 0
+	for key := range c.rig.Store.Snapshot() {
+		if key.Kind == claimsKind {
+			segments++
+		}
+	}
+	require.Less(t, segments, fleet.Partitions+cleanAfter+16)
+
+	c.replace("host-00")
+	c.rig.Run(3 * testLease)
+	for i := range 400 {
+		c.call("host-00", fmt.Sprintf("id-%d", i), time.Second, nil)
+	}
+	c.rig.Run(time.Second)
+	for _, k := range c.calls[400:] {
+		require.Equal(t, DecisionRan, k.decision, k.id.Key)
+	}
+	c.rig.Run(30 * time.Minute)
+	for key := range c.rig.Store.Snapshot() {
+		require.NotContains(t, key.Name, owner.o.Self.Incarnation.String(), "the log of the earlier owner is garbage")
+	}
+}
+
+// TestReleaseSurvivesTakeover guards against a released id that a later owner
+// takes for running, and against one that ran and is granted again.
+func TestReleaseSurvivesTakeover(t *testing.T) {
+	c := scriptedCell(3, 4)
+	released := true
+	c.ending = func(int) Ending {
+		released = !released
+		if !released {
+			return EndingRelease
+		}
+		return EndingComplete
+	}
+	first := c.call("host-00", "a", time.Second, nil)
+	c.rig.Run(time.Second)
+	require.True(t, first.released)
+	c.replace(c.owner())
+	c.rig.Run(3 * testLease)
+	second := c.call("host-01", "a", time.Second, nil)
+	c.rig.Run(time.Second)
+	require.Equal(t, DecisionGranted, second.decision)
+	c.replace(c.owner())
+	c.rig.Run(3 * testLease)
+	third := c.call("host-02", "a", time.Second, nil)
+	c.rig.Run(time.Second)
+	require.Equal(t, DecisionRan, third.decision)
+	require.Equal(t, second.result, third.result)
+}
+
+// TestUncommittedTakeover guards against an id that the dead owner granted from
+// memory and the next one grants again; ids of a later time must run.
+func TestUncommittedTakeover(t *testing.T) {
+	c := scriptedCell(4, 4)
+	released := c.call("host-00", "freed", time.Second, nil)
+	c.ending = func(int) Ending { return EndingRelease }
+	c.rig.Run(time.Second)
+	require.True(t, released.released)
+	c.ending = func(int) Ending { return EndingComplete }
+	owner := c.owner()
+	c.setStoreDown(true)
+	again := c.call("host-00", "freed", 3*time.Second, nil)
+	c.rig.Run(2 * time.Second)
+	require.Equal(t, DecisionGranted, again.decision)
+	c.replace(owner)
+	if again.host.node.Member.Host != owner {
+		c.replace(again.host.node.Member.Host)
+	}
+	c.setStoreDown(false)
+	c.rig.Run(4 * testLease)
+	host := again.host.node.Member.Host
+	old := c.call(host, "freed", time.Second, nil)
+	c.rig.Run(time.Second)
+	require.Equal(t, DecisionUnknown, old.decision)
+	fresh := c.call(host, c.timedKey(1), time.Second, nil)
+	c.rig.Run(time.Second)
+	require.Equal(t, DecisionGranted, fresh.decision)
+}
+
+// TestIDTime guards the bounds of the time in an id, which the rule for ids
+// after an uncommitted takeover rests on.
+func TestIDTime(t *testing.T) {
+	const now = int64(1_800_000_000_000)
+	key := func(millis int64) string {
+		return fmt.Sprintf("%08x-%04x-7abc-8def-0123456789ab", millis>>16, millis&0xffff)
+	}
+	require.False(t, isAhead(key(now+2000), now))
+	require.True(t, isAhead(key(now+2001), now))
+	require.False(t, isTooOld(key(now-86_300_000), now))
+	require.True(t, isTooOld(key(now-86_400_000), now))
+	require.False(t, isAfter(key(now+4000), now))
+	require.True(t, isAfter(key(now+4001), now))
+	require.False(t, isAfter("order-17", now))
+	require.False(t, isAhead(fmt.Sprintf("%08x-%04x-4abc-8def-0123456789ab", now>>15, 0), now), "version 4")
+}
+
+// TestSegmentRoundTrip guards against a record that changes on its way through
+// the store.
+func TestSegmentRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := segment{Number: rapid.Uint64().Draw(t, "number")}
+		copy(s.Owner[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "owner"))
+		for i := range rapid.IntRange(0, 5).Draw(t, "records") {
+			r := record{
+				ID:          operation(rapid.String().Draw(t, "key")),
+				Fingerprint: rapid.Uint64().Draw(t, "fingerprint"),
+				Holder:      fleet.Member{Host: "h"},
+				Attempt:     uint64(i),
+				State:       state(rapid.IntRange(1, 4).Draw(t, "state")),
+			}
+			if r.State == stateRan {
+				r.Result = &traffic.OperationResult{Status: 200, Body: []byte{1, byte(i)}}
+			}
+			s.Records = append(s.Records, r)
+		}
+		decoded, err := decodeSegment(segmentKey(s.Owner, s.Number), encodeObject(&s))
+		require.NoError(t, err)
+		require.Equal(t, s.Records, decoded.Records)
+	})
+}
+
+// FuzzSegment guards against a panic or an unbounded record from a damaged object.
+func FuzzSegment(f *testing.F) {
+	key := segmentKey(fleet.Incarnation{}, 0)
+	f.Add(encodeObject(&segment{Records: []record{{ID: operation("a"), State: stateFree}}}))
+	f.Add([]byte{0x84})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s, err := decodeSegment(key, value)
+		if err != nil {
+			return
+		}
+		for i := range s.Records {
+			require.Empty(t, s.Records[i].check())
+		}
+		_, err = decodeSegment(key, encodeObject(s))
+		require.NoError(t, err)
+	})
+}
--- a/operations/machine.go
+++ b/operations/machine.go
@@ -149,6 +149,13 @@
 	return m.view != nil && m.now.Instant < m.lease
 }
 
+// Pending returns the number of attempts of this host that have not ended, or
+// whose end no owner has in its log. A host that leaves before it is 0 leaves
+// ids unknown. It must be called between two steps.
+func (m *Machine) Pending() int {
+	return len(m.requester.attempts) + len(m.requester.outbox.reports)
+}
+
 func (m *Machine) emit(out machine.Output) {
 	m.out = append(m.out, out)
 }
--- /dev/null
+++ b/operations/naive_test.go
@@ -0,0 +1,126 @@
+package operations
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// naive keeps the claims of a partition in the memory of its owner alone. It
+// writes no log, and a new owner grants at once.
+type naive struct {
+	self    fleet.Member
+	view    *fleet.View
+	claims  map[traffic.OperationID]*naiveClaim
+	pending map[uint64]Begin
+	out     []machine.Output
+}
+
+type naiveClaim struct {
+	holder  fleet.Member
+	attempt uint64
+	result  *traffic.OperationResult
+}
+
+func buildNaive(self fleet.Member) machine.Machine {
+	return &naive{self: self, claims: map[traffic.OperationID]*naiveClaim{}, pending: map[uint64]Begin{}}
+}
+
+func (n *naive) Step(_ machine.Now, in machine.Input) []machine.Output {
+	n.out = nil
+	switch in := in.(type) {
+	case machine.ViewChanged:
+		n.view = in.View
+	case Begin:
+		n.pending[in.Attempt] = in
+		n.sendToOwner(in.ID, Request{Attempt: in.Attempt, ID: in.ID})
+	case Finish:
+		if b, ok := n.pending[in.Attempt]; ok {
+			delete(n.pending, in.Attempt)
+			n.sendToOwner(b.ID, Report{Attempt: in.Attempt, ID: b.ID, Ending: in.Ending, Result: &in.Result})
+		}
+	case machine.Received:
+		n.receive(in.From, in.Message)
+	}
+	return n.out
+}
+
+func (n *naive) sendToOwner(id traffic.OperationID, message machine.Message) {
+	if n.view == nil {
+		return
+	}
+	owner := n.view.Partitions[PartitionOf(id)].Owner
+	if owner == n.self {
+		n.receive(n.self, message)
+		return
+	}
+	n.out = append(n.out, machine.Send{To: owner.Host, Message: message})
+}
+
+func (n *naive) receive(from fleet.Member, message machine.Message) {
+	switch message := message.(type) {
+	case Request:
+		n.request(from, message)
+	case Report:
+		c := n.claims[message.ID]
+		if c == nil {
+			return
+		}
+		c.result = message.Result
+		if message.Ending != EndingComplete {
+			delete(n.claims, message.ID)
+		}
+	case Answer:
+		if _, ok := n.pending[message.Attempt]; ok && message.To == n.self.Incarnation {
+			n.out = append(n.out, Decided{Attempt: message.Attempt, Decision: message.Decision, Result: message.Result})
+		}
+	}
+}
+
+func (n *naive) request(from fleet.Member, r Request) {
+	c := n.claims[r.ID]
+	answer := Answer{To: from.Incarnation, Attempt: r.Attempt, Decision: DecisionGranted}
+	switch {
+	case c == nil:
+		n.claims[r.ID] = &naiveClaim{holder: from, attempt: r.Attempt}
+	case c.result != nil:
+		answer.Decision, answer.Result = DecisionRan, c.result
+	case c.holder != from || c.attempt != r.Attempt:
+		answer.Decision = DecisionRunning
+	}
+	if from == n.self {
+		n.receive(n.self, answer)
+		return
+	}
+	n.out = append(n.out, machine.Send{To: from.Host, Message: answer})
+}
+
+// TestNaiveFails guards against a matrix that would pass anything: it must find
+// ids that the naive version runs twice.
+func TestNaiveFails(t *testing.T) {
+	twice := 0
+	for _, f := range faultsNamed("kill-owner", "replace-owner", "pause-owner", "leave") {
+		m := newMatrix(1, true, buildNaive)
+		for _, step := range []int{60, 120, 180} {
+			s := m.Build(1).(*cell)
+			s.rig.OnStep = func(n int) {
+				if n == step {
+					f.Apply(s)
+				}
+			}
+			s.Run()
+			s.Check()
+			for _, executions := range s.executions {
+				if len(executions) > 1 {
+					twice++
+				}
+			}
+		}
+	}
+	t.Log("ids that ran more than once:", twice)
+	require.Positive(t, twice)
+}
