--- a/operations/rig_test.go
+++ b/operations/rig_test.go
@@ -406,3 +406,5 @@
 		c.violations = append(c.violations, fmt.Sprintf(format, args...))
 	}
 }
+
+func buildMachine(self fleet.Member) machine.Machine { return New(Options{Self: self}) }
