Serve operators over HTTP and add their commands

Cause: operators had one path for notes and curl. Change: package operator checks, lists and shows notes, shows the configuration without digests, pages the time line and changes the log level; operator/client asks one host or all; the commands note, key, status, timeline, explain and log use it. The gateway's copy of /livez, /readyz and /metrics is removed; its test now runs against package operator with the same checks.

--- /dev/null
+++ b/cmd/catkinspring/exit.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"errors"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/host"
+	"github.com/catkinspring/catkinspring/operator"
+	"github.com/catkinspring/catkinspring/operator/client"
+	"github.com/catkinspring/catkinspring/settings"
+)
+
+// The exit codes of the program. Kong uses 80 for an invalid command line.
+const (
+	exitFailed       = 1
+	exitSettings     = 2
+	exitListen       = 3
+	exitStoppedHard  = 4
+	exitUnreachable  = 5
+	exitNoteInvalid  = 6
+	exitNoteRaced    = 7
+	exitNotInForce   = 8
+	exitUndecided    = 9
+	exitCredential   = 10
+	exitNotAccepted  = 11
+	exitNotFound     = 12
+	exitInvalidUsage = 80
+)
+
+// failureCodes maps what a host answered to an exit code.
+var failureCodes = map[operator.FailureKind]int{
+	operator.FailureCredential:  exitCredential,
+	operator.FailureNotFound:    exitNotFound,
+	operator.FailureNoteInvalid: exitNoteInvalid,
+	operator.FailureNoteReused:  exitNoteRaced,
+	operator.FailureNoteRaced:   exitNoteRaced,
+	operator.FailureUndecided:   exitUndecided,
+	operator.FailureUnavailable: exitNotAccepted,
+}
+
+// exitCode maps an error to the exit code that scripts can tell apart.
+func exitCode(err error) int {
+	var (
+		invalid     *settings.Error
+		unreadable  *settings.ReadError
+		secret      *settings.SecretError
+		listen      *host.ListenError
+		hard        *hardStopError
+		usage       *HostRequiredError
+		unreachable *client.UnreachableError
+		behind      *client.NotInForceError
+		refused     *client.FailureError
+		note        *configuration.NoteError
+		missing     *operator.NotFoundError
+		undecided   *client.UndecidedError
+	)
+	switch {
+	case errors.As(err, &invalid), errors.As(err, &unreadable), errors.As(err, &secret):
+		return exitSettings
+	case errors.As(err, &listen):
+		return exitListen
+	case errors.As(err, &hard):
+		return exitStoppedHard
+	case errors.As(err, &usage):
+		return exitInvalidUsage
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &undecided):
+		return exitUndecided
+	case errors.As(err, &behind):
+		return exitNotInForce
+	case errors.As(err, &note):
+		return exitNoteInvalid
+	case errors.As(err, &missing):
+		return exitNotFound
+	case errors.As(err, &refused):
+		if code, known := failureCodes[refused.Failure.Kind]; known {
+			return code
+		}
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/catkinspring/explain.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"github.com/catkinspring/catkinspring/operator"
+	"github.com/catkinspring/catkinspring/operator/client"
+	"github.com/catkinspring/catkinspring/timeline"
+)
+
+type explainCommand struct {
+	RequestID string `arg:"" name:"request-id" help:"Value of the X-Request-Id header of the response."`
+	fleetFlags
+	jsonFlag
+}
+
+// explanation is what explain prints for programs.
+type explanation struct {
+	Request   string             `json:"request"`
+	Events    []timeline.Event   `json:"events"`
+	Unreached []client.Unreached `json:"unreached"`
+}
+
+// Run says what happened to a request.
+func (c explainCommand) Run(con *console) error {
+	hosts, err := c.client()
+	if err != nil {
+		return err
+	}
+	t, err := hosts.Timeline(con.ctx, client.EventQuery{Request: c.RequestID})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = con.json(explanation{Request: c.RequestID, Events: t.Events, Unreached: t.Unreached})
+	} else {
+		con.explain(c.RequestID, t)
+	}
+	if err == nil && len(t.Events) == 0 {
+		return &operator.NotFoundError{What: "no event of request " + c.RequestID + " is kept on the hosts that were reached"}
+	}
+	return err
+}
+
+func (c *console) explain(id string, t client.Timeline) {
+	if len(t.Events) > 0 {
+		first := &t.Events[0]
+		c.printf("Request %s ended on entry host %s at %s.\n", id, first.Host, clockTime(first.Time.WallMillis))
+	} else {
+		c.printf("Nothing is known of request %s. Refused requests, unknown outcomes, retries and shifts are kept until newer ones need the room; of the others one in 1,000 is kept.\n", id)
+	}
+	for i := range t.Events {
+		c.printf("%s\n", t.Events[i].Text)
+	}
+	for _, u := range t.Unreached {
+		c.printf("Entry host %s was not reached (%s); its part is missing.\n", u.Host, u.Reason)
+	}
+}
--- a/cmd/catkinspring/main.go
+++ b/cmd/catkinspring/main.go
@@ -2,31 +2,32 @@
 package main
 
 import (
-	"errors"
+	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
-	"github.com/catkinspring/catkinspring/host"
 	"github.com/catkinspring/catkinspring/settings"
 )
 
 // version is set by the linker.
 var version = "development"
 
-// The exit codes of the program. Kong uses 80 for an invalid command line.
-const (
-	exitFailed      = 1
-	exitSettings    = 2
-	exitListen      = 3
-	exitStoppedHard = 4
-)
-
 type commandLine struct {
 	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Certs    certsCommand    `cmd:"" help:"Make certificates for the connections between hosts."`
+	Note     noteCommand     `cmd:"" help:"Work with release notes."`
+	Key      keyCommand      `cmd:"" help:"Make and withdraw customers' keys."`
+	Status   statusCommand   `cmd:"" help:"Show hosts, leases, revisions, shares, capacity, shifts, quarantined requests and firing alerts of a cell."`
+	Timeline timelineCommand `cmd:"" help:"Show one ordered time line of events over all hosts of a cell."`
+	Explain  explainCommand  `cmd:"" help:"Say what happened to one request and why."`
+	Log      logCommand      `cmd:"" help:"Work with the logs of running hosts."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
@@ -55,34 +56,33 @@
 	return nil
 }
 
-func main() {
-	ctx := kong.Parse(&commandLine{},
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run parses a command line, runs the command and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	var command commandLine
+	parser, err := kong.New(&command,
 		kong.Name("catkinspring"),
 		kong.Description("Steers callers' requests across regions and failure domains to upstreams."),
+		kong.Writers(out, errOut),
 		kong.UsageOnError(),
 	)
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "catkinspring:", err)
-		os.Exit(exitCode(err))
+	if err != nil {
+		fmt.Fprintln(errOut, "catkinspring:", err)
+		return exitFailed
 	}
-}
-
-// exitCode maps an error to the exit code that scripts can tell apart.
-func exitCode(err error) int {
-	var (
-		invalid    *settings.Error
-		unreadable *settings.ReadError
-		secret     *settings.SecretError
-		listen     *host.ListenError
-		hard       *hardStopError
-	)
-	switch {
-	case errors.As(err, &invalid), errors.As(err, &unreadable), errors.As(err, &secret):
-		return exitSettings
-	case errors.As(err, &listen):
-		return exitListen
-	case errors.As(err, &hard):
-		return exitStoppedHard
+	parsed, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+	ctx := context.Background()
+	// A running host has a meaning of its own for signals.
+	if !strings.HasPrefix(parsed.Command(), "serve") {
+		interrupted, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		ctx = interrupted
+	}
+	if err := parsed.Run(&console{ctx: ctx, out: out, err: errOut}); err != nil {
+		fmt.Fprintln(errOut, "catkinspring:", err)
+		return exitCode(err)
 	}
-	return exitFailed
+	return 0
 }
--- /dev/null
+++ b/cmd/catkinspring/note.go
@@ -0,0 +1,291 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/catkinspring/catkinspring/configuration"
+	"github.com/catkinspring/catkinspring/operator"
+	"github.com/catkinspring/catkinspring/operator/client"
+)
+
+type noteCommand struct {
+	Check noteCheckCommand `cmd:"" help:"Check a release note and print every problem with line and column. Without --host only the note itself is checked, not what it refers to."`
+	Diff  noteDiffCommand  `cmd:"" help:"Show what a release note changes against the revision in force."`
+	Apply noteApplyCommand `cmd:"" help:"Apply a release note and wait until every live host runs it. Repeating a note with the same id is harmless."`
+	List  noteListCommand  `cmd:"" help:"List the last accepted release notes, at most 256."`
+	Show  noteShowCommand  `cmd:"" help:"Show the configuration in force, without digests of keys, or one accepted note."`
+}
+
+type noteFile struct {
+	File string `arg:"" type:"existingfile" help:"Release note, JSON with comments."`
+}
+
+// read returns the text of a note that is well formed. It returns
+// *configuration.NoteError with every problem that can be seen without a host.
+func (f noteFile) read() ([]byte, error) {
+	text, err := os.ReadFile(f.File)
+	if err != nil {
+		return nil, eris.Wrap(err, "release note")
+	}
+	_, err = configuration.ParseNote(text)
+	return text, err
+}
+
+type noteCheckCommand struct {
+	noteFile
+	fleetFlags
+	jsonFlag
+}
+
+// Run checks a note.
+func (c noteCheckCommand) Run(con *console) error {
+	text, err := c.read()
+	if err != nil {
+		return con.problems(err, c.JSON)
+	}
+	if len(c.Host) == 0 {
+		if c.JSON {
+			return con.json(operator.Checked{Changes: []configuration.Change{}})
+		}
+		con.printf("%s: well formed; not checked against the revision in force, because no --host is given\n", c.File)
+		return nil
+	}
+	checked, err := c.ask(con, text)
+	if err != nil {
+		return con.problems(err, c.JSON)
+	}
+	if c.JSON {
+		return con.json(checked)
+	}
+	con.printf("%s: no problems; %d changes against revision %d\n", c.File, len(checked.Changes), checked.Revision)
+	return nil
+}
+
+func (f *fleetFlags) ask(con *console, text []byte) (operator.Checked, error) {
+	hosts, err := f.client()
+	if err != nil {
+		return operator.Checked{}, err
+	}
+	return hosts.Check(con.ctx, text)
+}
+
+type noteDiffCommand struct {
+	noteFile
+	fleetFlags
+	jsonFlag
+}
+
+// Run shows the changes.
+func (c noteDiffCommand) Run(con *console) error {
+	text, err := c.read()
+	if err != nil {
+		return con.problems(err, c.JSON)
+	}
+	checked, err := c.ask(con, text)
+	if err != nil {
+		return con.problems(err, c.JSON)
+	}
+	if c.JSON {
+		return con.json(checked)
+	}
+	con.printf("against revision %d:\n", checked.Revision)
+	con.changes(checked.Changes)
+	return nil
+}
+
+func (c *console) changes(changes []configuration.Change) {
+	for _, change := range changes {
+		c.printf("  %s\n", change)
+	}
+}
+
+// problems writes a refusal as JSON if asked to; the error stays the result.
+func (c *console) problems(err error, asJSON bool) error {
+	if !asJSON {
+		return err
+	}
+	failure := operator.Failure{Error: err.Error()}
+	var note *configuration.NoteError
+	var refused *client.FailureError
+	switch {
+	case errors.As(err, &note):
+		failure.Kind, failure.Accepted = operator.FailureNoteInvalid, operator.AcceptedNo
+		failure.Problems = operator.Problems(note.Problems)
+	case errors.As(err, &refused):
+		failure = refused.Failure
+	}
+	if writeErr := c.json(failure); writeErr != nil {
+		return writeErr
+	}
+	return err
+}
+
+// waitFlags bound the wait for a revision.
+type waitFlags struct {
+	Wait   time.Duration `default:"30s" help:"Bound of the wait until every live host runs the revision."`
+	NoWait bool          `help:"Return as soon as the note is accepted."`
+}
+
+type noteApplyCommand struct {
+	noteFile
+	fleetFlags
+	waitFlags
+	jsonFlag
+}
+
+// Run applies the note.
+func (c noteApplyCommand) Run(con *console) error {
+	text, err := c.read()
+	if err != nil {
+		return con.problems(err, c.JSON)
+	}
+	hosts, err := c.client()
+	if err != nil {
+		return err
+	}
+	applied, err := con.apply(hosts, text, c.waitFlags, c.JSON)
+	if err != nil && applied.Revision == 0 {
+		return con.problems(err, c.JSON)
+	}
+	if !c.JSON {
+		return err
+	}
+	if writeErr := con.json(appliedOutput{Applied: applied, InForce: err == nil && !c.NoWait, Behind: behind(err)}); writeErr != nil {
+		return writeErr
+	}
+	return err
+}
+
+// appliedOutput is what note apply prints for programs.
+type appliedOutput struct {
+	operator.Applied
+	// InForce is true if every live host runs the revision.
+	InForce bool            `json:"inForce"`
+	Behind  []client.Behind `json:"behind"`
+}
+
+func behind(err error) []client.Behind {
+	var late *client.NotInForceError
+	if errors.As(err, &late) {
+		return late.Behind
+	}
+	return []client.Behind{}
+}
+
+// apply sends a note and waits until it is in force. A revision in the result
+// says that the note was accepted, also with an error.
+func (c *console) apply(hosts *client.Client, text []byte, wait waitFlags, quiet bool) (operator.Applied, error) {
+	applied, err := hosts.Apply(c.ctx, text)
+	if err != nil {
+		return operator.Applied{}, err
+	}
+	say := c.printf
+	if quiet {
+		say = func(string, ...any) {}
+	}
+	if applied.Repeated {
+		say("note %s was accepted before as revision %d\n", applied.NoteID, applied.Revision)
+	} else {
+		say("note %s is accepted as revision %d\n", applied.NoteID, applied.Revision)
+		for _, change := range applied.Changes {
+			say("  %s\n", change)
+		}
+	}
+	if wait.NoWait {
+		return applied, nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, wait.Wait)
+	defer cancel()
+	started := time.Now()
+	return applied, hosts.AwaitRevision(ctx, applied.Revision, func(p client.Progress) {
+		say("in force on %d of %d hosts after %.1f s\n", p.InForce, p.Hosts, time.Since(started).Seconds())
+	})
+}
+
+type noteListCommand struct {
+	fleetFlags
+	jsonFlag
+}
+
+// Run lists notes.
+func (c noteListCommand) Run(con *console) error {
+	hosts, err := c.client()
+	if err != nil {
+		return err
+	}
+	notes, err := hosts.Notes(con.ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return con.json(notes)
+	}
+	rows := [][]string{{"REVISION", "NOTE"}}
+	for _, n := range notes.Notes {
+		rows = append(rows, []string{strconv.FormatUint(uint64(n.Revision), 10), n.ID})
+	}
+	con.table(rows)
+	if notes.Stale {
+		con.printf("the store can't be read; this is the list of revision %d, the last one that the host saw\n", notes.Revision)
+	}
+	return nil
+}
+
+type noteShowCommand struct {
+	ID         string `arg:"" optional:"" help:"Id of an accepted note. Its revision and its events are shown; the text of notes is not kept."`
+	AlertRules bool   `help:"Print the alert rules alone, byte for byte as they were accepted."`
+	fleetFlags
+	jsonFlag
+}
+
+// Run shows the configuration or a note.
+func (c noteShowCommand) Run(con *console) error {
+	hosts, err := c.client()
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.AlertRules:
+		text, err := hosts.AlertRules(con.ctx)
+		if err != nil {
+			return err
+		}
+		_, err = con.out.Write(text)
+		return err
+	case c.ID != "":
+		return c.showNote(con, hosts)
+	}
+	shown, err := hosts.Configuration(con.ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return con.json(shown)
+	}
+	con.configuration(&shown)
+	return nil
+}
+
+func (c noteShowCommand) showNote(con *console, hosts *client.Client) error {
+	notes, err := hosts.Notes(con.ctx)
+	if err != nil {
+		return err
+	}
+	for _, n := range notes.Notes {
+		if n.ID != c.ID {
+			continue
+		}
+		if c.JSON {
+			return con.json(n)
+		}
+		con.printf("note %s is accepted as revision %d; the newest revision is %d\n", n.ID, n.Revision, notes.Revision)
+		return nil
+	}
+	return &operator.NotFoundError{What: "no accepted note that is remembered has the id " + c.ID}
+}
--- a/cmd/catkinspring/serve.go
+++ b/cmd/catkinspring/serve.go
@@ -33,7 +33,9 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	// Operators change the process's level while it runs.
+	zerolog.SetGlobalLevel(level)
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	drain, startDrain := context.WithCancel(context.Background())
 	stop, stopNow := context.WithCancel(context.Background())
 	go handleSignals(startDrain, stopNow)
--- /dev/null
+++ b/cmd/catkinspring/status.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/operator/client"
+)
+
+type statusCommand struct {
+	fleetFlags
+	jsonFlag
+}
+
+// Run shows the state of the cell.
+func (c statusCommand) Run(con *console) error {
+	hosts, err := c.client()
+	if err != nil {
+		return err
+	}
+	cell, err := hosts.Cell(con.ctx)
+	if err != nil {
+		return err
+	}
+	summary := client.Summarize(cell)
+	if c.JSON {
+		return con.json(summary)
+	}
+	con.summary(&summary)
+	return nil
+}
+
+func (c *console) summary(s *client.Summary) {
+	c.printf("%d hosts as %s lists them; revision %d is in force", len(s.Hosts), s.Source, s.Revision)
+	if s.OldestRevision != s.Revision {
+		c.printf(", %d on the last host", s.OldestRevision)
+	}
+	c.printf("\n\n")
+	c.hostTable(s)
+	c.customerTable(s)
+	c.capacityTable(s)
+	c.printf("\nSHIFTS BETWEEN REGIONS\n")
+	rows := [][]string{}
+	for _, shift := range s.Shifts {
+		rows = append(rows, []string{"  " + string(shift.Route), fmt.Sprintf("%s -> %s", shift.From, shift.To), fmt.Sprintf("%.1f/s", shift.PerSecond)})
+	}
+	c.rowsOrNone(rows)
+	c.printf("\nQUARANTINED REQUESTS\n")
+	rows = [][]string{}
+	for _, q := range s.Quarantined {
+		rows = append(rows, []string{"  " + q.Fingerprint, "since " + clockTime(q.SinceMillis)})
+	}
+	c.rowsOrNone(rows)
+	c.alerts(s)
+	c.printf("\nNOT REACHED\n")
+	rows = [][]string{}
+	for _, u := range s.Unreached {
+		rows = append(rows, []string{"  " + string(u.Host), u.Reason})
+	}
+	c.rowsOrNone(rows)
+}
+
+func (c *console) rowsOrNone(rows [][]string) {
+	if len(rows) == 0 {
+		c.printf("  none\n")
+		return
+	}
+	c.table(rows)
+}
+
+func (c *console) hostTable(s *client.Summary) {
+	rows := [][]string{{"HOST", "INCARNATION", "REGION", "DOMAIN", "STATE", "READY", "LEASE", "REVISION", "STORE", "RUNNING", "VERSION"}}
+	for _, h := range s.Hosts {
+		if h.Status == nil {
+			rows = append(rows, []string{string(h.Host), "?", "?", "?", string(h.State), "?", "?", "?", "?", "?", "?"})
+			continue
+		}
+		st := h.Status
+		rows = append(rows, []string{
+			string(h.Host), st.Incarnation.String()[:8], string(st.Location.Region), string(st.Location.FailureDomain),
+			string(h.State), readiness(st.Ready, st.NotReady), fmt.Sprintf("%.1f s", float64(st.LeaseMillis)/1000),
+			fmt.Sprint(st.Revision), reachable(st.StoreOK), fmt.Sprint(st.Running), st.Version,
+		})
+	}
+	c.table(rows)
+}
+
+func readiness(ready bool, why string) string {
+	if ready {
+		return "yes"
+	}
+	return "no: " + strings.TrimPrefix(why, "not ready: ")
+}
+
+func reachable(ok bool) string {
+	if ok {
+		return "reachable"
+	}
+	return "not reachable"
+}
+
+func (c *console) customerTable(s *client.Summary) {
+	rows := [][]string{{"\nCUSTOMER", "RATE", "BURST", "SHARES", "ADMITTED", "REFUSED"}}
+	for i := range s.Customers {
+		customer := &s.Customers[i]
+		rows = append(rows, []string{
+			string(customer.Customer), fmt.Sprintf("%g/s", customer.Rate), fmt.Sprintf("%g", customer.Burst),
+			shares(customer.Parts), fmt.Sprintf("%.1f/s", customer.Admitted), fmt.Sprintf("%.1f/s", customer.Refused),
+		})
+	}
+	c.table(rows)
+}
+
+// shares writes the smallest and the largest base part and their sum.
+func shares(parts map[fleet.HostID]float64) string {
+	least, most, sum := 1.0, 0.0, 0.0
+	for _, part := range parts {
+		least, most, sum = min(least, part), max(most, part), sum+part
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f%% to %.1f%% a host, %.1f%% in all", 100*least, 100*most, 100*sum)
+}
+
+func (c *console) capacityTable(s *client.Summary) {
+	rows := [][]string{{"\nPOOL", "REGION", "UPSTREAMS", "LEAVING", "SLOTS", "IN FLIGHT", "HEADROOM"}}
+	for _, part := range s.Capacity {
+		rows = append(rows, []string{
+			string(part.Pool), string(part.Region), fmt.Sprint(part.Upstreams), fmt.Sprint(part.Leaving),
+			fmt.Sprint(part.Slots), fmt.Sprint(part.InFlight), fmt.Sprintf("%.0f%%", 100*part.Headroom),
+		})
+	}
+	c.table(rows)
+}
+
+func (c *console) alerts(s *client.Summary) {
+	evaluator := string(s.AlertEvaluator)
+	if evaluator == "" {
+		evaluator = "no host that was reached"
+	}
+	c.printf("\nFIRING ALERTS, evaluated by %s\n", evaluator)
+	rows := [][]string{}
+	for _, a := range s.Alerts {
+		rows = append(rows, []string{"  " + a.Name, a.Severity, "since " + clockTime(a.SinceMillis), fmt.Sprintf("value %g", a.Value), a.Rule})
+	}
+	c.rowsOrNone(rows)
+}
+
+// clockTime writes a wall clock time with milliseconds, in UTC.
+func clockTime(millis int64) string {
+	return time.UnixMilli(millis).UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -1,5 +1,4 @@
-// Package gateway is the HTTP interface of an entry host towards callers, and
-// its separate interface towards operators.
+// Package gateway is the HTTP interface of an entry host towards callers.
 //
 // A request passes these checks in order: route, key, lease, customer, body,
 // idempotency key, quarantine, rate, claim. The key, the lease, the admission
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/problem"
 )
 
@@ -191,7 +193,14 @@
 	h.raw(t, "GET /open HTTP/1.1\r\nHost: g\r\n\r\n")
 	metrics.GetOrRegisterGauge("a-b", h.Registry).Update(7)
 	var ready error = problem.NotRun(problem.KindNotReady, "no lease "+h.key.Reveal())
-	operators := NewOperators(OperatorsConfig{Ready: func() error { return ready }, Registry: h.Registry})
+	operators := operator.New(operator.Config{
+		Ready: func() error { return ready },
+		Metrics: func() []byte {
+			var text bytes.Buffer
+			operator.WriteMetrics(&text, h.Registry)
+			return text.Bytes()
+		},
+	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = operators.Serve(listener) }()
--- a/host/host.go
+++ b/host/host.go
@@ -235,8 +235,12 @@
 		Ready:      h.ready,
 		Apply:      h.applyNote,
 		Status:     h.status,
-		Events:     h.ring.Select,
+		Snapshot:   h.state.snapshot.Load,
+		Notes:      h.acceptedNotes,
+		Rings:      []*timeline.Ring{h.ring},
 		Metrics:    h.metrics,
+		Level:      logLevel,
+		SetLevel:   h.setLogLevel,
 	})
 }
 
--- a/host/modules.go
+++ b/host/modules.go
@@ -12,6 +12,7 @@
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
+	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/placement"
 )
 
@@ -24,6 +25,7 @@
 	quarantine    moduleID
 	operations    moduleID
 	directory     moduleID
+	contacts      moduleID
 }
 
 func (h *Host) addModules() {
@@ -71,6 +73,11 @@
 		machine: directory.NewMachine(h.self.Host),
 		output:  h.directoryOutput,
 	}, directory.Messages())
+	h.modules.contacts = h.loop.add(module{
+		name:    "contacts",
+		machine: operator.NewContacts(h.self, h.settings.Advertise.Operators),
+		output:  h.contactsOutput,
+	}, operator.Messages())
 }
 
 func ignoreOutput(machine.Now, machine.Output) {}
@@ -84,7 +91,8 @@
 	types = append(types, placement.Messages()...)
 	types = append(types, dispatch.Messages()...)
 	types = append(types, operations.Messages()...)
-	return append(types, directory.Messages()...)
+	types = append(types, directory.Messages()...)
+	return append(types, operator.Messages()...)
 }
 
 // membershipOutput carries out the outputs of the membership. A view and a lease
@@ -191,6 +199,12 @@
 	}
 }
 
+func (h *Host) contactsOutput(_ machine.Now, out machine.Output) {
+	if changed, ok := out.(operator.ContactsChanged); ok {
+		h.state.contacts.Store(&changed.Addresses)
+	}
+}
+
 func (h *Host) operationsOutput(_ machine.Now, out machine.Output) {
 	switch out := out.(type) {
 	case operations.Decided:
--- a/host/outside.go
+++ b/host/outside.go
@@ -108,6 +108,7 @@
 func (h *Host) callStore(call machine.StoreCall, done func(machine.StoreResult)) {
 	watched := func(result machine.StoreResult) {
 		h.noteStore(result.Outcome)
+		h.noteHead(call, result)
 		done(result)
 	}
 	if call.Op != machine.StoreGet || call.Key.Kind != rosterKind {
@@ -117,6 +118,7 @@
 	h.runner.Submit(call, func(roster machine.StoreResult) {
 		head := machine.StoreCall{Op: machine.StoreGet, Key: machine.StoreKey{Kind: headKind, Name: headName}}
 		h.runner.Submit(head, func(result machine.StoreResult) {
+			h.noteHead(head, result)
 			if !headKnown(result.Outcome) || !h.deliverHead(result) {
 				roster.Outcome = machine.StoreUnknown
 			}
--- a/host/state.go
+++ b/host/state.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/catkinspring/catkinspring/configuration"
@@ -16,8 +17,12 @@
 	snapshot  atomic.Pointer[configuration.Snapshot]
 	suspended atomic.Pointer[configuration.KeySet]
 	regions   atomic.Pointer[lookup.Table]
-	draining  atomic.Bool
-	storeOK   atomic.Bool
+	contacts  atomic.Pointer[map[fleet.HostID]netip.AddrPort]
+	// head is the last head of the configuration that was read or written, as the
+	// store holds it.
+	head     atomic.Pointer[[]byte]
+	draining atomic.Bool
+	storeOK  atomic.Bool
 	// storeAsked is true once the store has answered or failed to answer.
 	storeAsked atomic.Bool
 }
--- a/host/status.go
+++ b/host/status.go
@@ -4,7 +4,6 @@
 	"bytes"
 
 	"github.com/catkinspring/catkinspring/configuration"
-	"github.com/catkinspring/catkinspring/gateway"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/operator"
 )
@@ -49,6 +48,10 @@
 		LeaseMillis: max(0, h.state.ValidUntil().Sub(h.clock.Now().Instant).Milliseconds()),
 		Revision:    h.state.revision(),
 		StoreOK:     h.state.storeOK.Load(),
+		Running:     h.active.running(),
+	}
+	if contacts := h.state.contacts.Load(); contacts != nil {
+		s.Operators = *contacts
 	}
 	if err := h.ready(); err != nil {
 		s.NotReady = err.Error()
@@ -70,6 +73,6 @@
 // metrics returns the metrics in the text exposition format.
 func (h *Host) metrics() []byte {
 	var out bytes.Buffer
-	gateway.WriteMetrics(&out, h.registry)
+	operator.WriteMetrics(&out, h.registry)
 	return out.Bytes()
 }
--- /dev/null
+++ b/operator/client/client.go
@@ -0,0 +1,226 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/catkinspring/catkinspring/operator"
+)
+
+const (
+	// DefaultTimeout bounds one request to one host.
+	DefaultTimeout = 5 * time.Second
+	// applyTimeout bounds the wait for the decision on a note. It is longer than
+	// the server's own bound, so that the server's answer arrives.
+	applyTimeout = 35 * time.Second
+	// maxAnswer bounds an answer: 10,000 events of at most 1.5 KiB.
+	maxAnswer = 32 << 20
+)
+
+// Config says which hosts to ask.
+type Config struct {
+	// Hosts are operators' addresses, "IP:PORT" or a URL. The next one is tried
+	// when one can't be reached.
+	Hosts []string
+	// Credential is the operators' bearer token.
+	Credential string
+	// Timeout bounds one request; 0 means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Client talks to the operators' interface. It is safe for concurrent use.
+type Client struct {
+	hosts      []string
+	credential string
+	timeout    time.Duration
+	http       *http.Client
+}
+
+// New returns a client.
+func New(config Config) *Client {
+	c := &Client{hosts: config.Hosts, credential: config.Credential, timeout: config.Timeout}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	// A redirect would carry the credential to another place.
+	c.http = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return c
+}
+
+// call is one request.
+type call struct {
+	method  string
+	path    string
+	query   url.Values
+	body    []byte
+	timeout time.Duration
+}
+
+// first asks the hosts in order until one answers. A host that can't be
+// reached, or says that it can't serve, is passed over. It returns
+// *UnreachableError if no host could be reached.
+func (c *Client) first(ctx context.Context, q call, into any) (string, error) {
+	var attempts []Attempt
+	var unavailable error
+	for _, host := range c.hosts {
+		err := c.ask(ctx, host, q, into)
+		if err == nil {
+			return host, nil
+		}
+		if ctx.Err() != nil {
+			return host, eris.Wrap(err, "interrupted")
+		}
+		if refused, ok := asFailure(err); ok {
+			if refused.Failure.Kind != operator.FailureUnavailable {
+				return host, err
+			}
+			unavailable = err
+			continue
+		}
+		attempts = append(attempts, Attempt{Host: host, Err: err})
+	}
+	if unavailable != nil {
+		return "", unavailable
+	}
+	return "", &UnreachableError{Attempts: attempts}
+}
+
+// ask sends a request to one host. It returns *FailureError if the host
+// refused, and any other error if the host could not be reached.
+func (c *Client) ask(ctx context.Context, host string, q call, into any) error {
+	timeout := q.timeout
+	if timeout == 0 {
+		timeout = c.timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	address := baseURL(host) + q.path
+	if len(q.query) > 0 {
+		address += "?" + q.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, q.method, address, bytes.NewReader(q.body))
+	if err != nil {
+		return eris.Wrap(err, "operators' address")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.credential)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return eris.Wrap(err, "answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return failure(host, response.StatusCode, text)
+	}
+	if raw, ok := into.(*[]byte); ok {
+		*raw = text
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(text, into), "answer")
+}
+
+func baseURL(host string) string {
+	if strings.Contains(host, "://") {
+		return strings.TrimSuffix(host, "/")
+	}
+	return "http://" + host
+}
+
+// Apply asks for a note to be accepted and waits for the decision, but not until
+// it is in force; see AwaitRevision. Asking the next host after a lost answer is
+// harmless, because a note is accepted once for its id. It returns
+// *UndecidedError if the answer of a host was lost and no other host decided.
+func (c *Client) Apply(ctx context.Context, note []byte) (operator.Applied, error) {
+	q := call{method: http.MethodPost, path: operator.PathNotes, body: note, timeout: applyTimeout}
+	var attempts, lost []Attempt
+	var unavailable error
+	for _, host := range c.hosts {
+		var applied operator.Applied
+		err := c.ask(ctx, host, q, &applied)
+		if err == nil {
+			return applied, nil
+		}
+		if refused, ok := asFailure(err); ok {
+			if refused.Failure.Kind != operator.FailureUnavailable {
+				return applied, err
+			}
+			unavailable = err
+			continue
+		}
+		attempts = append(attempts, Attempt{Host: host, Err: err})
+		if !neverSent(err) {
+			lost = append(lost, Attempt{Host: host, Err: err})
+		}
+	}
+	switch {
+	case len(lost) > 0:
+		return operator.Applied{}, &UndecidedError{Attempts: lost}
+	case unavailable != nil:
+		return operator.Applied{}, unavailable
+	}
+	return operator.Applied{}, &UnreachableError{Attempts: attempts}
+}
+
+// neverSent reports whether no connection for a request could be opened.
+func neverSent(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
+}
+
+// Check applies a note to a copy of the configuration in force.
+func (c *Client) Check(ctx context.Context, note []byte) (operator.Checked, error) {
+	var checked operator.Checked
+	_, err := c.first(ctx, call{method: http.MethodPost, path: operator.PathCheck, body: note}, &checked)
+	return checked, err
+}
+
+// Notes lists the accepted notes.
+func (c *Client) Notes(ctx context.Context) (operator.Notes, error) {
+	var notes operator.Notes
+	_, err := c.first(ctx, call{method: http.MethodGet, path: operator.PathNotes}, &notes)
+	return notes, err
+}
+
+// Configuration returns the configuration in force on the first host.
+func (c *Client) Configuration(ctx context.Context) (operator.Configuration, error) {
+	var shown operator.Configuration
+	_, err := c.first(ctx, call{method: http.MethodGet, path: operator.PathConfiguration}, &shown)
+	return shown, err
+}
+
+// AlertRules returns the alert rules as they were accepted, one line each.
+func (c *Client) AlertRules(ctx context.Context) ([]byte, error) {
+	var text []byte
+	_, err := c.first(ctx, call{method: http.MethodGet, path: operator.PathAlertRules}, &text)
+	return text, err
+}
+
+// Level returns the lowest level that one host logs.
+func (c *Client) Level(ctx context.Context, host string) (string, error) {
+	var level operator.LogLevel
+	err := c.ask(ctx, host, call{method: http.MethodGet, path: operator.PathLogLevel}, &level)
+	return level.Level, err
+}
+
+// SetLevel changes the lowest level that one host logs until it restarts.
+func (c *Client) SetLevel(ctx context.Context, host, level string) error {
+	body, err := json.Marshal(operator.LogLevel{Level: level})
+	if err != nil {
+		return eris.Wrap(err, "log level")
+	}
+	return c.ask(ctx, host, call{method: http.MethodPut, path: operator.PathLogLevel, body: body}, &operator.LogLevel{})
+}
--- /dev/null
+++ b/operator/client/errors.go
@@ -0,0 +1,91 @@
+package client
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/operator"
+)
+
+// FailureError is the answer of a host that refused a request.
+type FailureError struct {
+	Host    string
+	Status  int
+	Failure operator.Failure
+}
+
+func (e *FailureError) Error() string { return e.Failure.Error }
+
+func asFailure(err error) (*FailureError, bool) {
+	var refused *FailureError
+	ok := errors.As(err, &refused)
+	return refused, ok
+}
+
+// failure reads the body of a refusal.
+func failure(host string, status int, text []byte) error {
+	e := &FailureError{Host: host, Status: status}
+	if err := json.Unmarshal(text, &e.Failure); err != nil || e.Failure.Error == "" {
+		e.Failure = operator.Failure{Kind: operator.FailureRequest, Error: fmt.Sprintf("host %s answered with status %d", host, status)}
+	}
+	return e
+}
+
+// Attempt is a host that could not be reached.
+type Attempt struct {
+	Host string
+	Err  error
+}
+
+// UnreachableError reports that no host could be reached.
+type UnreachableError struct {
+	Attempts []Attempt
+}
+
+func (e *UnreachableError) Error() string {
+	lines := []string{"no host could be reached"}
+	for _, a := range e.Attempts {
+		lines = append(lines, fmt.Sprintf("  %s: %v", a.Host, a.Err))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// UndecidedError reports a note whose answer was lost on the way.
+type UndecidedError struct {
+	Attempts []Attempt
+}
+
+func (e *UndecidedError) Error() string {
+	lines := []string{"the note may have been accepted: the answer was lost; apply the same note again to learn"}
+	for _, a := range e.Attempts {
+		lines = append(lines, fmt.Sprintf("  %s: %v", a.Host, a.Err))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Behind is a host on which a revision is not in force.
+type Behind struct {
+	Host fleet.HostID `json:"host"`
+	// Revision is the one in force; 0 if the host could not be reached.
+	Revision fleet.Revision `json:"revision"`
+	// Reason says why the host is not known to have the revision.
+	Reason string `json:"reason"`
+}
+
+// NotInForceError reports that a revision is not in force on all live hosts
+// within the bound. The note was accepted and goes on to be spread.
+type NotInForceError struct {
+	Revision fleet.Revision
+	Behind   []Behind
+}
+
+func (e *NotInForceError) Error() string {
+	lines := []string{fmt.Sprintf("revision %d is accepted, but not yet in force on %d hosts", e.Revision, len(e.Behind))}
+	for _, b := range e.Behind {
+		lines = append(lines, fmt.Sprintf("  %s: %s", b.Host, b.Reason))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/gateway/exposition.go
+++ b/operator/exposition.go
@@ -1,4 +1,4 @@
-package gateway
+package operator
 
 import (
 	"bytes"
--- a/operator/server.go
+++ b/operator/server.go
@@ -4,15 +4,13 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"errors"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/catkinspring/catkinspring/configuration"
-	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/keys"
 	"github.com/catkinspring/catkinspring/timeline"
 )
 
@@ -20,10 +18,23 @@
 	// applyTimeout bounds the wait for the decision on a note.
 	applyTimeout = 30 * time.Second
 	// idleTimeout closes connections without requests.
-	idleTimeout = 60 * time.Second
-	readTimeout = 30 * time.Second
-	// maxEvents bounds the events of one answer.
-	maxEvents = 10_000
+	idleTimeout  = 60 * time.Second
+	readTimeout  = 30 * time.Second
+	writeTimeout = 30 * time.Second
+	// maxConnections bounds the connections of operators, scrapers and checks.
+	maxConnections     = 256
+	metricsContentType = "text/plain; version=0.0.4; charset=utf-8"
+)
+
+// The paths of the interface.
+const (
+	PathNotes         = "/v1/notes"
+	PathCheck         = "/v1/notes/check"
+	PathConfiguration = "/v1/configuration"
+	PathAlertRules    = "/v1/alert-rules"
+	PathStatus        = "/v1/status"
+	PathTimeline      = "/v1/timeline"
+	PathLogLevel      = "/v1/log-level"
 )
 
 // Config holds what the server needs. All functions may be called concurrently.
@@ -34,29 +45,20 @@
 	Ready func() error
 	// Apply asks for a note to be accepted.
 	Apply func(ctx context.Context, note *configuration.Note) (configuration.NoteResult, error)
+	// Snapshot returns the configuration in force; nil before the first.
+	Snapshot func() *configuration.Snapshot
+	// Notes returns the accepted notes.
+	Notes func(ctx context.Context) (Notes, error)
 	// Status describes the host and what it knows of its cell.
 	Status func() Status
-	// Events selects events of the host's time line.
-	Events func(filter timeline.Filter, limit int) []timeline.Event
+	// Rings hold the host's time line. They share one clock.
+	Rings []*timeline.Ring
 	// Metrics returns the metrics in the text exposition format.
 	Metrics func() []byte
-}
-
-// Status is the answer of GET /v1/status.
-type Status struct {
-	Host          fleet.HostID       `json:"host"`
-	Incarnation   fleet.Incarnation  `json:"incarnation"`
-	Location      fleet.Location     `json:"location"`
-	Version       string             `json:"version"`
-	Ready         bool               `json:"ready"`
-	NotReady      string             `json:"notReady,omitempty"`
-	Draining      bool               `json:"draining"`
-	LeaseMillis   int64              `json:"leaseMillis"`
-	Revision      fleet.Revision     `json:"revision"`
-	RosterVersion uint64             `json:"rosterVersion"`
-	StoreOK       bool               `json:"storeReachable"`
-	Members       []fleet.ViewMember `json:"members"`
-	Partitions    int                `json:"partitionsOwned"`
+	// Level returns the lowest level that is logged, SetLevel changes it. SetLevel
+	// returns an error for an unknown level.
+	Level    func() string
+	SetLevel func(level string) error
 }
 
 // Server serves operators.
@@ -72,20 +74,40 @@
 	app := fiber.New(fiber.Config{
 		BodyLimit:    configuration.MaxNoteSize,
 		ReadTimeout:  readTimeout,
+		WriteTimeout: writeTimeout,
 		IdleTimeout:  idleTimeout,
+		Concurrency:  maxConnections,
 		ErrorHandler: writeError,
 	})
+	app.Use(recoverPanic)
 	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("live\n") })
 	app.Get("/readyz", s.ready)
 	app.Get("/metrics", s.metrics)
 	v1 := app.Group("/v1", s.authenticate)
 	v1.Post("/notes", s.apply)
+	v1.Post("/notes/check", s.check)
+	v1.Get("/notes", s.notes)
+	v1.Get("/notes/:id", s.note)
+	v1.Get("/configuration", s.configuration)
+	v1.Get("/alert-rules", s.alertRules)
 	v1.Get("/status", func(c fiber.Ctx) error { return c.JSON(s.Status()) })
 	v1.Get("/timeline", s.events)
+	v1.Get("/log-level", func(c fiber.Ctx) error { return c.JSON(LogLevel{Level: s.Level()}) })
+	v1.Put("/log-level", s.setLevel)
 	s.app = app
 	return s
 }
 
+// recoverPanic turns a panic into a failure of this request alone.
+func recoverPanic(c fiber.Ctx) (err error) {
+	defer func() {
+		if recover() != nil {
+			err = fiber.NewError(fiber.StatusInternalServerError, "the request failed inside the entry host")
+		}
+	}()
+	return c.Next()
+}
+
 // Serve answers operators until Shutdown. It returns nil after that.
 func (s *Server) Serve(listener net.Listener) error {
 	return s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
@@ -113,118 +135,28 @@
 
 func (s *Server) ready(c fiber.Ctx) error {
 	if err := s.Ready(); err != nil {
-		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
+		return c.Status(fiber.StatusServiceUnavailable).SendString(keys.Redact(err.Error()) + "\n")
 	}
 	return c.SendString("ready\n")
 }
 
 func (s *Server) metrics(c fiber.Ctx) error {
-	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	c.Set(fiber.HeaderContentType, metricsContentType)
 	return c.Send(s.Metrics())
 }
 
-// Applied is the answer of POST /v1/notes.
-type Applied struct {
-	NoteID   string                 `json:"noteId"`
-	Revision fleet.Revision         `json:"revision"`
-	Repeated bool                   `json:"repeated"`
-	Changes  []configuration.Change `json:"changes,omitempty"`
+// LogLevel is the answer of GET and the body of PUT /v1/log-level.
+type LogLevel struct {
+	Level string `json:"level"`
 }
 
-func (s *Server) apply(c fiber.Ctx) error {
-	note, err := configuration.ParseNote(c.Body())
-	if err != nil {
-		return err
+func (s *Server) setLevel(c fiber.Ctx) error {
+	var wanted LogLevel
+	if err := c.Bind().JSON(&wanted); err != nil {
+		return &QueryError{Parameter: "level", Want: `given as {"level": "info"}`}
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), applyTimeout)
-	defer cancel()
-	result, err := s.Apply(ctx, note)
-	if err != nil {
-		return err
+	if err := s.SetLevel(wanted.Level); err != nil {
+		return &QueryError{Parameter: "level", Want: "debug, info, warn or error"}
 	}
-	return c.JSON(Applied{NoteID: note.ID, Revision: result.Revision, Repeated: result.Repeated, Changes: result.Changes})
+	return c.JSON(LogLevel{Level: s.Level()})
 }
-
-func (s *Server) events(c fiber.Ctx) error {
-	filter := timeline.Filter{
-		Kind:     c.Query("kind"),
-		Customer: fleet.Customer(c.Query("customer")),
-		Request:  c.Query("request"),
-		Subject:  c.Query("subject"),
-	}
-	limit := maxEvents
-	if text := c.Query("limit"); text != "" {
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 1 || n > maxEvents {
-			return &QueryError{Parameter: "limit", Want: "a number from 1 to 10000"}
-		}
-		limit = n
-	}
-	if text := c.Query("after"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			return &QueryError{Parameter: "after", Want: "a sequence number"}
-		}
-		filter.AfterSequence = n
-	}
-	events := s.Events(filter, limit)
-	if events == nil {
-		events = []timeline.Event{}
-	}
-	return c.JSON(events)
-}
-
-// failure is the body of an answer that reports an error.
-type failure struct {
-	Error string `json:"error"`
-	// Accepted is "no" or "unknown" for notes.
-	Accepted string                  `json:"accepted,omitempty"`
-	Problems []configuration.Problem `json:"problems,omitempty"`
-}
-
-func writeError(c fiber.Ctx, err error) error {
-	status, body := describe(err)
-	return c.Status(status).JSON(body)
-}
-
-// describe maps an error to a status. Every error on a note but
-// *UndecidedError says that the note was not accepted.
-func describe(err error) (int, failure) {
-	var (
-		credential *CredentialError
-		query      *QueryError
-		router     *fiber.Error
-		note       *configuration.NoteError
-		reused     *configuration.NoteReusedError
-		raced      *configuration.RacedError
-		undecided  *configuration.UndecidedError
-	)
-	switch {
-	case errors.As(err, &credential):
-		return fiber.StatusUnauthorized, failure{Error: err.Error()}
-	case errors.As(err, &query):
-		return fiber.StatusBadRequest, failure{Error: err.Error()}
-	case errors.As(err, &router):
-		return router.Code, failure{Error: router.Message}
-	case errors.As(err, &note):
-		return fiber.StatusUnprocessableEntity, failure{Error: err.Error(), Accepted: "no", Problems: note.Problems}
-	case errors.As(err, &reused), errors.As(err, &raced):
-		return fiber.StatusConflict, failure{Error: err.Error(), Accepted: "no"}
-	case errors.As(err, &undecided), errors.Is(err, context.DeadlineExceeded):
-		return fiber.StatusGatewayTimeout, failure{Error: err.Error(), Accepted: "unknown"}
-	}
-	return fiber.StatusServiceUnavailable, failure{Error: err.Error(), Accepted: "no"}
-}
-
-// CredentialError reports a missing or wrong operators' credential.
-type CredentialError struct{}
-
-func (*CredentialError) Error() string { return "operators' credential is missing or wrong" }
-
-// QueryError reports a malformed query parameter.
-type QueryError struct {
-	Parameter string
-	Want      string
-}
-
-func (e *QueryError) Error() string { return "query parameter " + e.Parameter + " must be " + e.Want }
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -1,6 +1,8 @@
 package timeline
 
 import (
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/catkinspring/catkinspring/fleet"
@@ -31,11 +33,22 @@
 	Subject  string
 	// AfterSequence leaves out events up to a sequence number of the ring.
 	AfterSequence uint64
+	// FromMillis and ToMillis bound the time, in Unix milliseconds: the first is
+	// included, the second is not. 0 means no bound.
+	FromMillis, ToMillis int64
+}
+
+// kindMatches compares kinds. A filter that ends with a dot matches every kind
+// that starts with it.
+func kindMatches(filter, kind string) bool {
+	return filter == "" || filter == kind || strings.HasSuffix(filter, ".") && strings.HasPrefix(kind, filter)
 }
 
 func (f Filter) matches(e *Event) bool {
 	return e.Sequence > f.AfterSequence &&
-		(f.Kind == "" || f.Kind == e.Kind) &&
+		(f.FromMillis == 0 || e.Time.WallMillis >= f.FromMillis) &&
+		(f.ToMillis == 0 || e.Time.WallMillis < f.ToMillis) &&
+		kindMatches(f.Kind, e.Kind) &&
 		(f.Customer == "" || f.Customer == e.Customer) &&
 		(f.Request == "" || f.Request == e.Request) &&
 		(f.Subject == "" || f.Subject == e.Subject)
@@ -95,6 +108,26 @@
 	return selected
 }
 
+// Last returns the newest events that match the filter, at most limit, oldest
+// first, with the sequence number of the newest event of the ring. An
+// AfterSequence that the ring has not reached is one of an earlier process and
+// leaves nothing out.
+func (r *Ring) Last(f Filter, limit int) ([]Event, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.AfterSequence > r.sequence {
+		f.AfterSequence = 0
+	}
+	var selected []Event
+	for sequence := r.sequence; sequence >= r.oldest() && sequence > f.AfterSequence && len(selected) < limit; sequence-- {
+		if e := &r.events[r.slot(sequence)]; f.matches(e) {
+			selected = append(selected, *e)
+		}
+	}
+	slices.Reverse(selected)
+	return selected, r.sequence
+}
+
 func (r *Ring) oldest() uint64 {
 	return r.sequence - uint64(len(r.events)) + 1
 }
@@ -107,5 +140,5 @@
 	if len(text) <= MaxTextBytes {
 		return text
 	}
-	return text[:MaxTextBytes]
+	return strings.ToValidUTF8(text[:MaxTextBytes], "")
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -61,3 +61,20 @@
 	require.Equal(t, Merge(a, b, a), Merge(b, a))
 	require.Len(t, Merge(a, b, a), 2)
 }
+
+// Guards against a reader who gets the oldest events instead of the newest, and
+// against filters of time and kind that let other events through.
+func TestLastReturnsTheNewestMatchingEvents(t *testing.T) {
+	r := NewRing("h1", &Clock{}, 8, keep)
+	for i := range int64(8) {
+		r.Record(100+i, machine.Event{Kind: []string{"request.refused", "requested"}[i%2]})
+	}
+	events, newest := r.Last(Filter{Kind: "request.", FromMillis: 102, ToMillis: 106}, 1)
+	require.Equal(t, uint64(8), newest)
+	require.Len(t, events, 1)
+	require.Equal(t, int64(104), events[0].Time.WallMillis)
+	events, _ = r.Last(Filter{AfterSequence: newest}, 8)
+	require.Empty(t, events)
+	events, _ = r.Last(Filter{AfterSequence: newest + 1}, 8)
+	require.Len(t, events, 8, "a cursor of an earlier process must not hide events")
+}
