Record what happens to requests and explain it

Cause: operators could not learn why one request was refused. Change: package requestlog gathers the steps of a request without locks and keeps those of refusals, unknown outcomes, retries, shifts and one of 1,000 others; gateway and dispatch fill the trace.

--- a/cmd/catkinspring/explain.go
+++ b/cmd/catkinspring/explain.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/operator/client"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/timeline"
 )
 
@@ -48,7 +50,14 @@
 		c.printf("Nothing is known of request %s. Refused requests, unknown outcomes, retries and shifts are kept until newer ones need the room; of the others one in 1,000 is kept.\n", id)
 	}
 	for i := range t.Events {
-		c.printf("%s\n", t.Events[i].Text)
+		e := &t.Events[i]
+		c.printf("%s\n", e.Text)
+		if e.Kind != requestlog.KindRefused && e.Kind != requestlog.KindUnknown {
+			continue
+		}
+		if reason := requestlog.Reason(problem.Kind(e.Subject)); reason != "" {
+			c.printf("%s\n", reason)
+		}
 	}
 	for _, u := range t.Unreached {
 		c.printf("Entry host %s was not reached (%s); its part is missing.\n", u.Host, u.Reason)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -174,17 +174,26 @@
 // again reports whether another attempt follows, and pays for it. A request
 // that may have crashed an upstream is not tried at another one.
 func (a *attempts) again(out outcome, number int, proven bool) bool {
-	if number >= MaxRetries || a.ctx.Err() != nil {
-		return false
-	}
-	if !proven && a.request.atMostOnce() {
-		return false
-	}
-	if out.result == traffic.ResultCrashSuspected || out.result == traffic.ResultCancelled {
-		return false
-	}
 	var firstByte *FirstByteTimeoutError
-	return errors.As(out.err, &firstByte) || a.d.budget.spend()
+	reason := ""
+	switch {
+	case number >= MaxRetries:
+		reason = "it had as many attempts as a request may have"
+	case a.ctx.Err() != nil:
+		reason = "its time was over or the caller had left"
+	case !proven && a.request.atMostOnce():
+		reason = "it may have run, and the route is at-most-once"
+	case out.result == traffic.ResultCrashSuspected:
+		reason = "it may have crashed the upstream"
+	case out.result == traffic.ResultCancelled:
+		reason = "the caller had left"
+	case !errors.As(out.err, &firstByte) && !a.d.budget.spend():
+		reason = "the retry budget, 10% of the host's requests, was used up"
+	default:
+		return true
+	}
+	a.request.Trace.NotRetried(reason)
+	return false
 }
 
 // acquire waits for a slot in a bounded queue.
@@ -219,6 +228,7 @@
 		response: a.response,
 	}
 	a.d.metrics.attempts.Inc(1)
+	begun := time.Now()
 
 	out = e.run(a.header, a.body)
 	report.Result = out.result
@@ -227,6 +237,7 @@
 		report.Bytes = len(a.response.Body())
 	}
 	a.d.metrics.results[out.result].Inc(1)
+	a.request.Trace.Attempted(target, out.result, e.wrote, time.Since(begun))
 	if out.result == traffic.ResultAnswered && a.d.table.Suspected(a.request.Fingerprint) {
 		a.d.report(Succeeded{Fingerprint: a.request.Fingerprint})
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -11,6 +11,7 @@
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/keys"
+	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/traffic"
 )
 
@@ -50,6 +51,8 @@
 	// LastCheck is called immediately before the first byte of each attempt is
 	// written. Nothing is written if it returns an error.
 	LastCheck func() error
+	// Trace gathers the attempts; nil means that nobody needs them.
+	Trace *requestlog.Trace
 
 	written atomic.Bool
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,10 +63,12 @@
 	if method := string(c.ctx.Method()); method == fasthttp.MethodConnect || method == fasthttp.MethodTrace {
 		return problem.NotRun(problem.KindMethodNotAllowed, "the method is not forwarded")
 	}
+	c.trace.Route = route.Name
 	who, err := g.authenticate(snapshot, route, &c.ctx.Request.Header)
 	if err != nil {
 		return err
 	}
+	c.trace.Customer = who.customerID()
 	f := &forwarding{call: c, route: route, who: who}
 	if err := f.checkLease(); err != nil {
 		return err
@@ -142,6 +144,7 @@
 		Key:         f.who.key,
 		Deadline:    deadline,
 		LastCheck:   f.lastCheck,
+		Trace:       &f.trace,
 	}
 	if f.needsLease() {
 		f.request.Lease = f.g.Lease
@@ -175,13 +178,16 @@
 
 func (f *forwarding) admitClaimDispatch(ctx context.Context, operationKey string) error {
 	if f.who.customer != nil {
+		asked := time.Now()
 		admission, err := f.g.Limiter.Admit(ctx, f.who.customer.ID)
 		if err != nil {
 			return notRun(err, problem.KindRateExceeded, "the customer's rate could not be checked")
 		}
 		f.admission = admission
+		f.trace.Admitted(time.Since(asked))
 	}
 	if f.atMostOnce() {
+		asked := time.Now()
 		claim, earlier, err := f.g.Claimer.Claim(ctx, traffic.Operation{
 			ID:          traffic.OperationID{Customer: f.who.customerID(), Key: operationKey},
 			Fingerprint: f.request.Fingerprint,
@@ -191,9 +197,11 @@
 			return notRun(err, problem.KindClaimUnavailable, "the operation could not be claimed")
 		}
 		if claim == nil {
+			f.trace.Replayed(time.Since(asked))
 			return f.replay(earlier)
 		}
 		f.claim = claim
+		f.trace.Claimed(time.Since(asked))
 	}
 	return f.g.Dispatcher.Dispatch(ctx, f.request, &f.ctx.Response)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/lookup"
+	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/traffic"
 )
 
@@ -73,6 +74,8 @@
 	// ReadTimeout bounds the time to receive a request; 0 means
 	// RequestReadTimeout.
 	ReadTimeout time.Duration
+	// Requests takes finished requests; nil means that nobody does.
+	Requests requestlog.Recorder
 	// Registry takes the metrics; nil means the process's default one.
 	Registry metrics.Registry
 	Logger   zerolog.Logger
@@ -93,6 +96,9 @@
 	if config.ReadTimeout <= 0 {
 		config.ReadTimeout = RequestReadTimeout
 	}
+	if config.Requests == nil {
+		config.Requests = requestlog.Recorders{}
+	}
 	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,12 +11,13 @@
 
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/requestlog"
 )
 
 // serve answers one request. Requests to upstreams don't pass fiber's router: it
 // refuses methods that it does not know and interprets a cookie of its own.
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx, own fasthttp.RequestHandler) {
-	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	c := newCall(g, ctx)
 	defer c.recoverPanic()
 	if err := checkFraming(&ctx.Request.Header); err != nil {
 		ctx.SetConnectionClose()
@@ -51,6 +52,13 @@
 	started time.Time
 	// request is set once the request is handed to the dispatcher.
 	request *dispatch.Request
+	trace   requestlog.Trace
+}
+
+func newCall(g *Gateway, ctx *fasthttp.RequestCtx) *call {
+	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	c.trace.ID, c.trace.Started = c.id, c.started
+	return c
 }
 
 // recoverPanic turns a panic into a refusal of this request alone.
@@ -77,6 +85,9 @@
 	writeProblem(c.ctx, c.id, refused)
 	c.closeIfDraining()
 	c.g.metrics.refused(refused)
+	c.g.Requests.Finish(&c.trace, requestlog.End{
+		Status: refused.Status(), Outcome: refused.Outcome, Kind: refused.Kind, Detail: refused.Detail, Took: time.Since(c.started),
+	})
 }
 
 // finish completes the header of a response.
@@ -84,7 +95,9 @@
 	c.ctx.Response.Header.Set(dispatch.HeaderRequestID, c.id)
 	c.ctx.Response.Header.Set(headerOutcome, string(problem.OutcomeRun))
 	c.closeIfDraining()
-	c.g.metrics.answered(c.ctx.Response.StatusCode(), time.Since(c.started))
+	took := time.Since(c.started)
+	c.g.metrics.answered(c.ctx.Response.StatusCode(), took)
+	c.g.Requests.Finish(&c.trace, requestlog.End{Status: c.ctx.Response.StatusCode(), Outcome: problem.OutcomeRun, Took: took})
 }
 
 // closeIfDraining tells the caller to open no further request on the connection.
@@ -99,7 +112,7 @@
 	ctx := fc.RequestCtx()
 	c, ok := ctx.UserValue(callKey{}).(*call)
 	if !ok {
-		c = &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+		c = newCall(g, ctx)
 	}
 	var routed *fiber.Error
 	if errors.As(err, &routed) && routed.Code == fiber.StatusMethodNotAllowed {
@@ -112,7 +125,7 @@
 // parseError answers requests that could not be read. The connection is closed
 // after the answer.
 func (g *Gateway) parseError(ctx *fasthttp.RequestCtx, err error) {
-	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
+	c := newCall(g, ctx)
 	lingerOnClose(ctx.Conn())
 	c.refuse(g.parseProblem(ctx, err))
 }
--- a/host/host.go
+++ b/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/placement"
+	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/settings"
 	"github.com/catkinspring/catkinspring/store"
 	"github.com/catkinspring/catkinspring/timeline"
@@ -54,6 +55,8 @@
 	state    state
 	registry metrics.Registry
 	ring     *timeline.Ring
+	// requests holds the events of requests, on the clock of ring.
+	requests *timeline.Ring
 
 	listeners listeners
 	objects   *store.HTTP
@@ -121,7 +124,9 @@
 		left:     make(chan struct{}),
 	}
 	h.log = o.Logger.With().Str("host", string(s.Host.ID)).Str("incarnation", h.self.Incarnation.String()[:8]).Logger()
-	h.ring = timeline.NewRing(s.Host.ID, &timeline.Clock{}, s.Timeline.Entries, keys.Redact)
+	clock := &timeline.Clock{}
+	h.ring = timeline.NewRing(s.Host.ID, clock, s.Timeline.Entries, keys.Redact)
+	h.requests = timeline.NewRing(s.Host.ID, clock, requestlog.Entries, keys.Redact)
 	h.notes.init()
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -227,6 +232,7 @@
 		KeySuspended:   h.state.keySuspended,
 		Draining:       h.state.draining.Load,
 		MaxConnections: h.settings.Requests.Connections,
+		Requests:       requestlog.NewLog(h.requests, h.location.Region, h.registry),
 		Registry:       h.registry,
 		Logger:         h.log,
 	})
@@ -237,7 +243,7 @@
 		Status:     h.status,
 		Snapshot:   h.state.snapshot.Load,
 		Notes:      h.acceptedNotes,
-		Rings:      []*timeline.Ring{h.ring},
+		Rings:      []*timeline.Ring{h.ring, h.requests},
 		Metrics:    h.metrics,
 		Level:      logLevel,
 		SetLevel:   h.setLogLevel,
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -1,8 +1,12 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -49,8 +53,12 @@
 	return configuration.Problem{Line: p.Line, Column: p.Column, Path: p.Path, Value: p.Value, Want: p.Want}.String()
 }
 
-// Problems converts the problems of a note.
+// Problems converts the problems of a note, in the order of its text.
 func Problems(list []configuration.Problem) []Problem {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b configuration.Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
 	problems := make([]Problem, 0, len(list))
 	for _, p := range list {
 		problems = append(problems, Problem{Line: p.Line, Column: p.Column, Path: p.Path, Value: p.Value, Want: p.Want})
@@ -124,6 +132,7 @@
 		failure.Kind = FailureNoteInvalid
 		failure.Revision = note.Revision
 		failure.Problems = Problems(note.Problems)
+		failure.Error = noteErrorText(note.NoteID, failure.Problems)
 		return fiber.StatusUnprocessableEntity, failure
 	case errors.As(err, &reused):
 		failure.Kind = FailureNoteReused
@@ -142,6 +151,14 @@
 	return fiber.StatusServiceUnavailable, failure
 }
 
+func noteErrorText(id string, problems []Problem) string {
+	lines := []string{fmt.Sprintf("release note %q: %d problems", id, len(problems))}
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
 // CredentialError reports a missing or wrong operators' credential.
 type CredentialError struct{}
 
