--- a/host/host.go
+++ b/host/host.go
@@ -8,6 +8,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -22,11 +23,13 @@
 	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/measure"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/placement"
+	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/settings"
 	"github.com/catkinspring/catkinspring/store"
 	"github.com/catkinspring/catkinspring/timeline"
@@ -55,6 +58,12 @@
 	state    state
 	registry metrics.Registry
 	ring     *timeline.Ring
+	// requests holds the events of requests, on the clock of ring.
+	requests *timeline.Ring
+	measures *measure.Collector
+	// quarantines holds the wall clock of the last event of a fingerprint, for the
+	// control loop and operators.
+	quarantines sync.Map
 
 	listeners listeners
 	objects   *store.HTTP
@@ -125,7 +134,10 @@
 		left:     make(chan struct{}),
 	}
 	h.log = o.Logger.With().Str("host", string(s.Host.ID)).Str("incarnation", h.self.Incarnation.String()[:8]).Logger()
-	h.ring = timeline.NewRing(s.Host.ID, &timeline.Clock{}, s.Timeline.Entries, keys.Redact)
+	clock := &timeline.Clock{}
+	h.ring = timeline.NewRing(s.Host.ID, clock, s.Timeline.Entries, keys.Redact)
+	h.requests = timeline.NewRing(s.Host.ID, clock, requestlog.Entries, keys.Redact)
+	h.measures = measure.NewCollector(h.location.Region, time.Now)
 	h.notes.init()
 	h.regions.init()
 	if err := h.listen(); err != nil {
@@ -236,6 +248,7 @@
 		BodyBytes:      h.settings.Requests.BodyBytes,
 		ReadTimeout:    h.settings.Requests.ReadTimeout,
 		MaxConnections: h.settings.Requests.Connections,
+		Requests:       requestlog.Recorders{requestlog.NewLog(h.requests, h.location.Region, h.registry), h.measures},
 		Registry:       h.registry,
 		Logger:         h.log,
 	})
@@ -244,8 +257,12 @@
 		Ready:      h.ready,
 		Apply:      h.applyNote,
 		Status:     h.status,
-		Events:     h.ring.Select,
+		Snapshot:   h.state.snapshot.Load,
+		Notes:      h.acceptedNotes,
+		Rings:      []*timeline.Ring{h.ring, h.requests},
 		Metrics:    h.metrics,
+		Level:      logLevel,
+		SetLevel:   h.setLogLevel,
 	})
 }
 
--- a/host/modules.go
+++ b/host/modules.go
@@ -3,6 +3,7 @@
 import (
 	mathrand "math/rand/v2"
 
+	"github.com/catkinspring/catkinspring/alert"
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/dispatch"
@@ -11,6 +12,7 @@
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
+	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/placement"
 )
 
@@ -23,6 +25,8 @@
 	quarantine    moduleID
 	operations    moduleID
 	directory     moduleID
+	contacts      moduleID
+	alert         moduleID
 }
 
 func (h *Host) addModules() {
@@ -70,6 +74,16 @@
 		machine: directory.NewMachine(h.self.Host),
 		output:  h.directoryOutput,
 	}, directory.Messages())
+	h.modules.contacts = h.loop.add(module{
+		name:    "contacts",
+		machine: operator.NewContacts(h.self, h.settings.Advertise.Operators),
+		output:  h.contactsOutput,
+	}, operator.Messages())
+	h.modules.alert = h.loop.add(module{
+		name:    "alert",
+		machine: alert.New(h.self),
+		output:  h.alertOutput,
+	}, alert.Messages())
 }
 
 func ignoreOutput(machine.Now, machine.Output) {}
@@ -83,7 +97,9 @@
 	types = append(types, placement.Messages()...)
 	types = append(types, dispatch.Messages()...)
 	types = append(types, operations.Messages()...)
-	return append(types, directory.Messages()...)
+	types = append(types, directory.Messages()...)
+	types = append(types, operator.Messages()...)
+	return append(types, alert.Messages()...)
 }
 
 // membershipOutput carries out the outputs of the membership. A view and a lease
@@ -157,6 +173,7 @@
 	h.state.snapshot.Store(p.Snapshot)
 	h.applyShiftCaps()
 	h.loop.stepNow(h.modules.limits, customerLimits(p.Snapshot))
+	h.loop.forward(h.modules.alert, alertRules(p.Snapshot))
 	h.loop.forward(h.modules.membership, membership.SetRevision{Revision: p.Snapshot.Revision})
 	h.log.Info().Uint64("revision", uint64(p.Snapshot.Revision)).Msg("configuration is in force")
 	h.record(now, machine.Event{Kind: "configuration.in-force", Subject: revisionText(p.Snapshot.Revision), Text: "revision is in force on this host"})
@@ -198,6 +215,12 @@
 	}
 }
 
+func (h *Host) contactsOutput(_ machine.Now, out machine.Output) {
+	if changed, ok := out.(operator.ContactsChanged); ok {
+		h.state.contacts.Store(&changed.Addresses)
+	}
+}
+
 func (h *Host) operationsOutput(_ machine.Now, out machine.Output) {
 	switch out := out.(type) {
 	case operations.Decided:
@@ -212,6 +235,7 @@
 func (h *Host) placementOutput(_ machine.Now, out machine.Output) {
 	switch out := out.(type) {
 	case placement.UpstreamsChanged:
+		h.state.upstreams.Store(&out.Upstreams)
 		h.placement.SetUpstreams(out.Upstreams)
 	case placement.EstimatesChanged:
 		h.placement.SetEstimates(out.Estimates)
--- a/host/outside.go
+++ b/host/outside.go
@@ -109,6 +109,7 @@
 func (h *Host) callStore(call machine.StoreCall, done func(machine.StoreResult)) {
 	watched := func(result machine.StoreResult) {
 		h.noteStore(result.Outcome)
+		h.noteHead(call, result)
 		done(result)
 	}
 	if call.Op != machine.StoreGet || call.Key.Kind != rosterKind {
@@ -118,6 +119,7 @@
 	h.runner.Submit(call, func(roster machine.StoreResult) {
 		head := machine.StoreCall{Op: machine.StoreGet, Key: machine.StoreKey{Kind: headKind, Name: headName}}
 		h.runner.Submit(head, func(result machine.StoreResult) {
+			h.noteHead(head, result)
 			if !headKnown(result.Outcome) || !h.deliverHead(result) {
 				roster.Outcome = machine.StoreUnknown
 			}
@@ -134,6 +136,13 @@
 // the two it is at the start.
 func (h *Host) noteStore(outcome machine.StoreOutcome) {
 	ok := outcome != machine.StoreRefused && outcome != machine.StoreUnknown
+	now := int64(h.clock.Now().Instant)
+	h.state.storeCalled.Store(now)
+	if ok {
+		h.state.storeLost.Store(0)
+	} else {
+		h.state.storeLost.CompareAndSwap(0, now)
+	}
 	first := !h.state.storeAsked.Swap(true)
 	if h.state.storeOK.Swap(ok) == ok && !first {
 		return
@@ -148,6 +157,7 @@
 
 func (h *Host) record(now machine.Now, e machine.Event) {
 	h.ring.Record(now.WallMillis, e)
+	h.noteEvent(now, e)
 }
 
 // readHosts reads the platform's host list without holding up the loop. The
--- a/host/status.go
+++ b/host/status.go
@@ -4,7 +4,6 @@
 	"bytes"
 
 	"github.com/catkinspring/catkinspring/configuration"
-	"github.com/catkinspring/catkinspring/gateway"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/operator"
 )
@@ -46,12 +45,18 @@
 		LeaseMillis: max(0, h.state.ValidUntil().Sub(h.clock.Now().Instant).Milliseconds()),
 		Revision:    h.state.revision(),
 		StoreOK:     h.state.storeOK.Load(),
+		Running:     h.active.running(),
+	}
+	if contacts := h.state.contacts.Load(); contacts != nil {
+		s.Operators = *contacts
 	}
 	if err := h.ready(); err != nil {
 		s.NotReady = err.Error()
 	} else {
 		s.Ready = true
 	}
+	h.addTraffic(&s)
+	h.addAlerts(&s)
 	if view := h.state.view.Load(); view != nil {
 		s.RosterVersion = view.Version
 		s.Members = view.Members
@@ -67,6 +72,6 @@
 // metrics returns the metrics in the text exposition format.
 func (h *Host) metrics() []byte {
 	var out bytes.Buffer
-	gateway.WriteMetrics(&out, h.registry)
+	operator.WriteMetrics(&out, h.registry)
 	return out.Bytes()
 }
