Measure a fleet of each deployment through the phases of a scenario file

The demo checks promises but gives no figures to compare with. 'standin measure' runs the fleet of a scenario file through steady load, a surge, a drain, an absent store, a killed entry host and a lost region, and prints latency by customer, headroom, drain time, wrongful refusals and the counts of the demo's checks. The upstream stand-ins delay messages by the location of the entry host, which they know by the Host header, and bound the traffic between regions.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO_BUILD = go build -trimpath -ldflags "-X main.version=$(VERSION)"
 MATRIX_PACKAGES = ./membership ./configuration ./limits ./operations
 
-.PHONY: build test lint demo run matrix bench ci
+.PHONY: build test lint demo run matrix measure bench ci
 
 build:
 	$(GO_BUILD) -o bin/catkinspring ./cmd/catkinspring
@@ -24,6 +24,15 @@
 matrix:
 	.ci/matrix $(MATRIX_PACKAGES)
 
+# Both deployments through all phases, compared with the naive entry host and the
+# last recorded run. LONG=1 takes four times as long, RECORD=1 rewrites
+# docs/measurements/last.json, JSON=FILE and PLOTS=DIR write results and plots.
+SCENARIOS ?= examples/scenarios/cooperative.jsonc examples/scenarios/authority.jsonc
+
+measure: build
+	bin/standin measure --binary bin/catkinspring --version "$(VERSION)" $(if $(LONG),--scale 4) $(if $(RECORD),--record) \
+		$(if $(JSON),--json "$(JSON)") $(if $(PLOTS),--plots "$(PLOTS)") $(SCENARIOS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin runs stand-ins of the platform and of upstreams, and the demo.
+// Command standin runs stand-ins of the platform and of upstreams, the demo and
+// the measurements.
 // It is a test program and is not shipped.
 package main
 
@@ -23,6 +24,8 @@
 	Upstream upstreamCommand    `cmd:"" help:"Run stand-ins of upstreams, one listener each."`
 	Load     loadCommand        `cmd:"" help:"Send the load of a scenario to entry hosts."`
 	Demo     demoCommand        `cmd:"" help:"Run a whole fleet, drive requests through it while parts of it fail, and check its promises."`
+	Measure  measureCommand     `cmd:"" help:"Measure whole fleets through the phases of scenario files and compare them."`
+	Naive    naiveCommand       `cmd:"" help:"Run a naive entry host for comparison."`
 	Cost     controlCostCommand `cmd:"" name:"control-cost" help:"Measure the control cost of entry hosts without traffic."`
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,6 +41,8 @@
 	// Binary is the path of catkinspring and Standin that of standin.
 	Binary  string
 	Standin string
+	// Command is the subcommand of Binary that runs an entry host; "serve" if empty.
+	Command string
 	// Directory holds all files. If it is empty, Run and Keep use a temporary one.
 	Directory string
 }
@@ -283,7 +286,7 @@
 
 // StartHost starts one entry host.
 func (f *Fleet) StartHost(h *Host) error {
-	p, err := f.Launcher.Start(string(h.ID), f.Binary, "serve", h.Settings)
+	p, err := f.Launcher.Start(string(h.ID), f.Binary, cmp.Or(f.Command, "serve"), h.Settings)
 	h.Process = p
 	return err
 }
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,188 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/catkinspring/catkinspring/internal/demo"
+)
+
+// Options says what is measured and where the results go.
+type Options struct {
+	// Binary is the path of catkinspring and Standin that of standin.
+	Binary  string
+	Standin string
+	Version string
+	// Scenarios are files. All are run at once, first with this design and then
+	// with the naive one.
+	Scenarios []string
+	// Scale stretches the phases.
+	Scale float64
+	// Last is the file of the last recorded results; Record rewrites it.
+	Last   string
+	Record bool
+	// JSON is a file for the results and Plots a folder for SVG plots; empty
+	// means none.
+	JSON  string
+	Plots string
+	// Directory keeps the files of the runs; a temporary one if it is empty.
+	Directory string
+	// OwnOnly leaves the naive design out.
+	OwnOnly bool
+}
+
+// Results are the figures of some scenarios by name.
+type Results struct {
+	Version  string    `json:"version"`
+	Recorded time.Time `json:"recorded"`
+	// Machine says how many processors the run had and how loaded they were.
+	Machine   string             `json:"machine"`
+	Scenarios map[string]Figures `json:"scenarios"`
+}
+
+// Figures are the columns of a scenario.
+type Figures struct {
+	Seed   int     `json:"seed"`
+	Length string  `json:"length"`
+	Own    *Column `json:"own"`
+	Naive  *Column `json:"naive,omitempty"`
+}
+
+// Run measures every scenario and writes a table for each.
+func Run(ctx context.Context, options Options, out io.Writer) error {
+	var scenarios []*Scenario
+	for _, file := range options.Scenarios {
+		s, err := ReadScenario(file, options.Scale)
+		if err != nil {
+			return err
+		}
+		scenarios = append(scenarios, s)
+	}
+	last, err := readLast(options.Last)
+	if err != nil {
+		return err
+	}
+	if options.Directory == "" {
+		directory, err := os.MkdirTemp("", "catkinspring-measure-")
+		if err != nil {
+			return eris.Wrap(err, "temporary directory")
+		}
+		// What can't be removed is left to the system's clean-up.
+		defer func() { _ = os.RemoveAll(directory) }()
+		options.Directory = directory
+	}
+	results := &Results{Version: options.Version, Recorded: time.Now().UTC().Truncate(time.Second), Machine: machineText(), Scenarios: map[string]Figures{}}
+	fmt.Fprintf(out, "version %s, %s\n", results.Version, results.Machine)
+	own, err := options.observeAll(ctx, scenarios, DesignOwn, out)
+	if err != nil {
+		return err
+	}
+	naive := make([]*Column, len(scenarios))
+	if !options.OwnOnly {
+		if naive, err = options.observeAll(ctx, scenarios, DesignNaive, out); err != nil {
+			return err
+		}
+	}
+	for i, s := range scenarios {
+		results.Scenarios[s.Name] = Figures{Seed: s.Seed, Length: s.Length().String(), Own: own[i], Naive: naive[i]}
+		if err := writeTable(out, s, own[i], naive[i], last.Scenarios[s.Name].Own); err != nil {
+			return err
+		}
+	}
+	return options.write(scenarios, results)
+}
+
+// observeAll runs all scenarios at once with one design.
+func (o *Options) observeAll(ctx context.Context, scenarios []*Scenario, design Design, out io.Writer) ([]*Column, error) {
+	columns, errs := make([]*Column, len(scenarios)), make([]error, len(scenarios))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begin := time.Now()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for i, s := range scenarios {
+		say := func(format string, args ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Fprintf(out, "%6.2f s  %s, %s: %s\n", time.Since(begin).Seconds(), s.Name, design, fmt.Sprintf(format, args...))
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			directory := filepath.Join(o.Directory, s.Name+"-"+strings.ReplaceAll(string(design), " ", "-"))
+			seen, err := observe(ctx, s, design, demo.Options{Binary: o.Binary, Standin: o.Standin, Directory: directory}, say)
+			if err != nil {
+				errs[i] = eris.Wrapf(err, "%s, %s", s.Name, design)
+				cancel()
+				return
+			}
+			columns[i] = seen.column()
+		}()
+	}
+	group.Wait()
+	return columns, errors.Join(errs...)
+}
+
+// readLast reads recorded results; a file that does not exist has none.
+func readLast(file string) (*Results, error) {
+	last := &Results{}
+	text, err := os.ReadFile(file)
+	if file == "" || errors.Is(err, fs.ErrNotExist) {
+		return last, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "last recorded results")
+	}
+	return last, eris.Wrap(json.Unmarshal(text, last), "last recorded results")
+}
+
+// resultMode is the mode of result files, which hold no secret.
+const resultMode = 0o644
+
+func (o *Options) write(scenarios []*Scenario, results *Results) error {
+	if o.JSON != "" {
+		if err := writeResults(o.JSON, results); err != nil {
+			return err
+		}
+	}
+	if o.Plots != "" {
+		if err := writePlots(o.Plots, scenarios, results); err != nil {
+			return err
+		}
+	}
+	if o.Record {
+		return writeResults(o.Last, results)
+	}
+	return nil
+}
+
+func writeResults(file string, results *Results) error {
+	text, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return eris.Wrap(err, "results")
+	}
+	return eris.Wrap(os.WriteFile(file, append(text, '\n'), resultMode), "results")
+}
+
+// machineText describes the load of the machine, which a reader needs to judge
+// latencies.
+func machineText() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "load of the machine unknown"
+	}
+	fields := strings.Fields(string(text))
+	return fmt.Sprintf("%d processors, load average %s before the run", runtime.NumCPU(), fields[0])
+}
--- a/internal/standin/upstream/admin.go
+++ b/internal/standin/upstream/admin.go
@@ -96,6 +96,7 @@
 	mux.HandleFunc("POST /admin/drain", g.drain)
 	mux.HandleFunc("POST /admin/register", g.registerAgain)
 	mux.HandleFunc("POST /admin/health", g.setHealth)
+	mux.HandleFunc("PUT /admin/network", g.setNetwork)
 	return mux
 }
 
--- a/internal/standin/upstream/group.go
+++ b/internal/standin/upstream/group.go
@@ -37,6 +37,7 @@
 // Group is the upstreams of one process.
 type Group struct {
 	recorder  *Recorder
+	network   *network
 	upstreams []*Upstream
 	platform  string
 	admin     net.Listener
@@ -81,7 +82,7 @@
 	if records == 0 {
 		records = DefaultRecords
 	}
-	g := &Group{recorder: NewRecorder(records), platform: options.Platform}
+	g := &Group{recorder: NewRecorder(records), network: &network{free: map[pathID]time.Time{}}, platform: options.Platform}
 	if err := g.start(configs, options); err != nil {
 		g.Close()
 		return nil, err
@@ -101,7 +102,7 @@
 	g.admin = admin
 	g.server = &http.Server{Handler: g.adminRoutes()}
 	for _, config := range configs {
-		u, err := newUpstream(config, g.recorder, after)
+		u, err := newUpstream(config, g.recorder, g.network, after)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -34,6 +34,7 @@
 	config   Config
 	recorder *Recorder
 	service  *serviceTimes
+	network  *network
 	faults   faultTable
 	health   health
 	server   *http.Server
@@ -60,7 +61,7 @@
 type connKey struct{}
 
 // newUpstream binds the address and serves until close.
-func newUpstream(config Config, recorder *Recorder, after func(time.Duration) <-chan time.Time) (*Upstream, error) {
+func newUpstream(config Config, recorder *Recorder, network *network, after func(time.Duration) <-chan time.Time) (*Upstream, error) {
 	port, err := reserve(config.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "upstream %s", config.Name)
@@ -68,6 +69,7 @@
 	u := &Upstream{
 		config:   config,
 		recorder: recorder,
+		network:  network,
 		service:  newServiceTimes(config),
 		after:    after,
 		port:     port,
--- a/internal/standin/upstream/work.go
+++ b/internal/standin/upstream/work.go
@@ -67,17 +67,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	job.body = body
+	job.incarnation, _ = u.state()
+	u.arrive(job)
 	current, draining := u.state()
 	job.incarnation = current
 	u.recorder.count(func(t *Totals) { t.Received++ })
 	u.recordKeys(job)
 	if draining {
 		w.Header().Set(DrainingHeader, "true")
-		u.refuse(w, http.StatusServiceUnavailable, "draining", func(t *Totals) { t.Drained++ })
+		u.refuse(w, job, http.StatusServiceUnavailable, "draining", func(t *Totals) { t.Drained++ })
 		return
 	}
 	if !job.parse() {
-		u.refuse(w, http.StatusBadRequest, "malformed", func(t *Totals) { t.Malformed++ })
+		u.refuse(w, job, http.StatusBadRequest, "malformed", func(t *Totals) { t.Malformed++ })
 		return
 	}
 	if u.acquire(w, job) {
@@ -95,8 +97,9 @@
 	Error string `json:"error"`
 }
 
-func (u *Upstream) refuse(w http.ResponseWriter, status int, reason string, change func(*Totals)) {
+func (u *Upstream) refuse(w http.ResponseWriter, job *work, status int, reason string, change func(*Totals)) {
 	u.recorder.count(change)
+	u.depart(job, len(reason))
 	w.Header().Set(NotRunHeader, "true")
 	writeJSON(w, status, notRunBody{NotRun: reason})
 }
@@ -149,7 +152,7 @@
 	case trySlot(i):
 	case i.queued.Add(1) > int64(*u.config.Queue):
 		i.queued.Add(-1)
-		u.refuse(w, http.StatusServiceUnavailable, "overloaded", func(t *Totals) { t.Shed++ })
+		u.refuse(w, job, http.StatusServiceUnavailable, "overloaded", func(t *Totals) { t.Shed++ })
 		return false
 	default:
 		u.sampleLoad()
@@ -157,7 +160,7 @@
 	}
 	switch reason {
 	case deadlinePassed:
-		u.refuse(w, http.StatusServiceUnavailable, "deadline", func(t *Totals) { t.Expired++ })
+		u.refuse(w, job, http.StatusServiceUnavailable, "deadline", func(t *Totals) { t.Expired++ })
 	case clientLeft, upstreamCrashed:
 		u.recorder.count(func(t *Totals) { t.Abandoned++ })
 		panic(http.ErrAbortHandler)
@@ -233,6 +236,7 @@
 	u.recorder.end(index, finalState(interrupted), time.Now())
 	<-i.slots
 	u.sampleLoad()
+	u.depart(job, job.size)
 	switch interrupted {
 	case notInterrupted:
 		u.answer(w, job, fault)
