--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -44,6 +44,9 @@
 		if again {
 			pause(ctx, s.retryAfter())
 		}
+		if !s.hasTime(ctx) {
+			break
+		}
 		a := s.attempt(ctx, host)
 		s.record.Attempts = append(s.record.Attempts, a)
 		if a.Failure == FailureConnect {
@@ -57,6 +60,14 @@
 	s.record.Verdict = s.record.verdict()
 }
 
+// hasTime reports whether an answer could still arrive within the time bound of
+// the request. An attempt without that time would be recorded as a timeout, and
+// its request as unknown, although nothing was sent.
+func (s *sender) hasTime(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() == nil && (!ok || time.Until(deadline) > 2*s.arrival.customer.ClientDelay)
+}
+
 // choose returns the first host of the answer that was not tried. Again is true
 // if all of them were tried and a new round begins.
 func (s *sender) choose(ctx context.Context) (host netip.AddrPort, again bool) {
--- a/internal/measure/drive.go
+++ b/internal/measure/drive.go
@@ -60,6 +60,9 @@
 	if err := f.DirectNetwork(ctx, s.network(), s.platformDelays()); err != nil {
 		return nil, err
 	}
+	if !wait(ctx, s.warmUp()) {
+		return nil, eris.Wrap(ctx.Err(), "warm-up")
+	}
 	if err := f.PlatformCall(ctx, http.MethodDelete, "/admin/calls", nil, nil); err != nil {
 		return nil, err
 	}
@@ -80,6 +83,16 @@
 	return demo.StartParts(ctx, s.spec(), options, naive.NoteFile)
 }
 
+// warmUp is the time until the buckets of a new fleet, which start empty, are
+// full. The central bucket of the comparison is full at the start.
+func (s *Scenario) warmUp() time.Duration {
+	seconds := 0.0
+	for _, c := range s.Customers {
+		seconds = max(seconds, c.Burst/c.Rate)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func (s *Scenario) network() upstream.Network {
 	d := &s.Deployment
 	return upstream.Network{DomainMillis: d.DomainMillis, RegionMillis: d.RegionMillis, LinkMbit: d.LinkMbit}
