--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -84,6 +84,9 @@
 	// Load multiplies the load of some customers.
 	Load   map[fleet.Customer]float64 `json:"load"`
 	Faults []Fault                    `json:"faults"`
+	// Uncounted leaves the phase's requests out of latencies and refusals, for a
+	// fleet that is still warming up. Losses and the like are always counted.
+	Uncounted bool `json:"uncounted"`
 }
 
 // ReadScenario reads a file. Scale stretches its phases and the times of its
