Add limits: token buckets, the traffic table and loans between hosts

Cause: a customer's rate and burst hold over all hosts together, without a central counter and while demand is uneven. Change: package limits with a bucket and bounded queue per customer, and a machine that forecasts, borrows, lends, renews and returns units of the roster weight.

--- /dev/null
+++ b/limits/bench_test.go
@@ -0,0 +1,40 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// BenchmarkTick measures one tick of a host in a cell of 64 hosts with 64
+// customers, all of them with demand.
+func BenchmarkTick(b *testing.B) {
+	const hosts, customers = 64, 64
+	clock := &manualClock{at: machine.Instant(time.Hour)}
+	table := NewTable(clock, ignore)
+	m := NewMachine(table)
+	view := &fleet.View{}
+	for i := range hosts {
+		member := fleet.Member{Host: fleet.HostID(fmt.Sprintf("host-%02d", i)), Incarnation: fleet.Incarnation{byte(i + 1)}}
+		view.Members = append(view.Members, fleet.ViewMember{Member: member, State: fleet.StateActive, Weight: fleet.TotalWeight / hosts, Reachable: true})
+	}
+	view.Self = view.Members[0].Member
+	limits := SetCustomers{Revision: 1}
+	for i := range customers {
+		limits.Customers = append(limits.Customers, CustomerLimit{ID: fleet.Customer(fmt.Sprintf("customer-%02d", i)), Rate: 100, Burst: 100})
+	}
+	for _, in := range []machine.Input{machine.ViewChanged{View: view}, machine.LeaseChanged{ValidUntil: never}, limits} {
+		m.Step(clock.Now(), in)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		clock.at = clock.at.Add(50 * time.Millisecond)
+		for _, c := range limits.Customers {
+			table.Begin(c.ID)
+		}
+		m.Step(clock.Now(), machine.Tick{})
+	}
+}
--- /dev/null
+++ b/limits/machine.go
@@ -0,0 +1,370 @@
+package limits
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// LoanDuration is the duration of a loan. It is shorter than any host lease.
+	LoanDuration = 2 * time.Second
+	// minLoanDuration is the shortest loan that is worth a message.
+	minLoanDuration = 200 * time.Millisecond
+	// growthDelay is the time by which a larger base share takes effect later.
+	// The hosts whose part shrank lend from the smaller part at once, but loans
+	// of the larger one may run until then.
+	growthDelay = LoanDuration + 2*(LoanDuration/100+100*time.Millisecond)
+	// adjustInterval is the time between two looks at forecasts and loans.
+	adjustInterval = 50 * time.Millisecond
+)
+
+// The kinds of events.
+const (
+	eventShare    = "limits-share"
+	eventRevision = "limits-revision"
+	eventPool     = "limits-pool"
+)
+
+// driftMargin is what the side that waits adds to a duration on the other
+// side's clock.
+func driftMargin(d time.Duration) time.Duration {
+	return d/100 + 100*time.Millisecond
+}
+
+// CustomerLimit is the limit of one customer over all hosts.
+type CustomerLimit struct {
+	ID fleet.Customer
+	// Rate is in requests a second, Burst in requests.
+	Rate  float64
+	Burst float64
+}
+
+// SetCustomers carries the limits of a revision of the configuration. A
+// revision that is not higher than the last one is ignored.
+type SetCustomers struct {
+	Revision  fleet.Revision
+	Customers []CustomerLimit
+}
+
+// MachineInput marks SetCustomers as an input.
+func (SetCustomers) MachineInput() {}
+
+// Machine is the control side of the limits.
+type Machine struct {
+	shares Shares
+
+	view       *fleet.View
+	leaving    bool
+	leaseUntil machine.Instant
+	revision   fleet.Revision
+
+	// weight is the base share in force, in units.
+	weight int64
+	// growTo takes effect at growAt; 0 if no growth is pending.
+	growTo int64
+	growAt machine.Instant
+
+	// accounts are sorted by customer.
+	accounts []*account
+	index    map[fleet.Customer]*account
+	lastTick machine.Instant
+
+	sequence uint64
+	loanID   uint64
+	// sent holds the open requests by sequence.
+	sent map[uint64]sentRequest
+	// heard is the highest sequence of each peer's requests, heardSpare that of
+	// its advertisements.
+	heard      map[fleet.Member]uint64
+	heardSpare map[fleet.Member]uint64
+	nextSpare  machine.Instant
+	spareFrom  int
+	// spareAccount is the account with which the next advertisement begins.
+	spareAccount int
+	// heardAt is when a message of a host last came, viewAt when the view came.
+	heardAt map[fleet.HostID]machine.Instant
+	viewAt  machine.Instant
+	// choosePools is when it is decided again which customers this host pools.
+	choosePools machine.Instant
+	// urgent bounds the requests for waiting requests of all customers.
+	urgent budget
+
+	out      []machine.Output
+	requests map[fleet.HostID]*Request
+}
+
+type sentRequest struct {
+	to fleet.HostID
+	at machine.Instant
+}
+
+var _ machine.Machine = (*Machine)(nil)
+
+// NewMachine returns a machine that publishes to shares. It holds nothing until
+// it gets a view, a lease and customers.
+func NewMachine(shares Shares) *Machine {
+	return &Machine{
+		shares:     shares,
+		view:       &fleet.View{},
+		index:      map[fleet.Customer]*account{},
+		sent:       map[uint64]sentRequest{},
+		heard:      map[fleet.Member]uint64{},
+		heardSpare: map[fleet.Member]uint64{},
+		heardAt:    map[fleet.HostID]machine.Instant{},
+		urgent:     budget{rate: hostAskRate, burst: hostAskBurst, left: hostAskBurst},
+		requests:   map[fleet.HostID]*Request{},
+	}
+}
+
+// Step applies one input.
+func (m *Machine) Step(now machine.Now, in machine.Input) []machine.Output {
+	m.out = nil
+	at := now.Instant
+	switch in := in.(type) {
+	case machine.Tick:
+		m.tick(at)
+	case Demand:
+		m.demand(at, in.Customer)
+	case machine.Received:
+		m.receive(at, in)
+	case machine.ViewChanged:
+		m.viewChanged(at, in.View)
+	case machine.LeaseChanged:
+		m.leaseUntil = in.ValidUntil
+		m.shares.SetLease(in.ValidUntil)
+	case SetCustomers:
+		m.setCustomers(at, in)
+	}
+	m.flush(at)
+	return m.out
+}
+
+func (m *Machine) tick(now machine.Instant) {
+	period := now.Sub(m.lastTick)
+	if period < adjustInterval/2 {
+		return
+	}
+	m.lastTick = now
+	m.grow(now)
+	choose := now >= m.choosePools
+	if choose {
+		m.choosePools = now.Add(poolPause)
+	}
+	for _, a := range m.accounts {
+		m.settle(a, now)
+		a.usage = m.shares.Observe(a.id, true)
+		a.forecast.observe(a.usage.Arrived, period)
+		if choose {
+			m.choosePool(a, now)
+		}
+		m.borrow(a, now)
+		m.renew(a, now)
+	}
+	m.forgetSent(now)
+	m.advertise(now)
+}
+
+// choosePool decides whether this host gathers the units of the customer.
+func (m *Machine) choosePool(a *account, now machine.Instant) {
+	pooling := m.pools(a, now)
+	if pooling == a.pooling {
+		return
+	}
+	a.pooling = pooling
+	text := "this host no longer pools the customer's units"
+	if pooling {
+		text = "this host pools the customer's units"
+	}
+	m.event(eventPool, a.id, text)
+}
+
+func (m *Machine) event(kind string, customer fleet.Customer, text string) {
+	m.out = append(m.out, machine.Event{Kind: kind, Customer: customer, Subject: string(m.view.Self.Host), Text: text})
+}
+
+// settle ends the loans whose time is over.
+func (m *Machine) settle(a *account, now machine.Instant) {
+	// Loans that were lent on end before the borrowed ones behind them.
+	changed := a.expireLent(now)
+	a.expire(now)
+	if changed {
+		m.publishOwn(a)
+	}
+}
+
+func (m *Machine) demand(now machine.Instant, customer fleet.Customer) {
+	a := m.index[customer]
+	if a == nil {
+		return
+	}
+	m.settle(a, now)
+	a.usage = m.shares.Observe(a.id, false)
+	m.borrow(a, now)
+}
+
+func (m *Machine) receive(now machine.Instant, in machine.Received) {
+	m.heardAt[in.From.Host] = now
+	switch message := in.Message.(type) {
+	case Request:
+		m.request(now, in.From, message)
+	case Grant:
+		m.grant(now, in.From, message)
+	case Return:
+		m.returned(now, in.From, message)
+	case Spare:
+		m.spare(now, in.From, message)
+	}
+}
+
+func (m *Machine) setCustomers(now machine.Instant, in SetCustomers) {
+	if in.Revision <= m.revision {
+		return
+	}
+	m.revision = in.Revision
+	m.event(eventRevision, "", fmt.Sprintf("revision %d with %d customers in force", in.Revision, len(in.Customers)))
+	for _, a := range m.accounts {
+		a.active = false
+	}
+	for _, c := range in.Customers {
+		a := m.account(c.ID)
+		a.rate, a.burst, a.active = c.Rate, c.Burst, true
+		m.settle(a, now)
+		m.shares.SetLimit(a.id, a.rate, a.burst)
+		m.publishOwn(a)
+	}
+	m.accounts = slices.DeleteFunc(m.accounts, func(a *account) bool {
+		if a.active {
+			return false
+		}
+		m.withdraw(a)
+		if len(a.lent) > 0 {
+			return false
+		}
+		delete(m.index, a.id)
+		return true
+	})
+}
+
+// withdraw removes a customer from the traffic side. Its borrowed loans run out
+// at their lenders.
+func (m *Machine) withdraw(a *account) {
+	m.shares.Remove(a.id)
+	a.rate, a.burst = 0, 0
+	a.borrowed, a.asks = nil, nil
+	a.forecast = forecast{}
+}
+
+// account returns the account of a customer, a new one if there is none.
+func (m *Machine) account(id fleet.Customer) *account {
+	if a := m.index[id]; a != nil {
+		return a
+	}
+	a := newAccount(id)
+	m.index[id] = a
+	at, _ := slices.BinarySearchFunc(m.accounts, a, func(x, y *account) int { return cmp.Compare(x.id, y.id) })
+	m.accounts = slices.Insert(m.accounts, at, a)
+	return a
+}
+
+// viewChanged takes a new view. A smaller base share applies at once, a larger
+// one after growthDelay.
+func (m *Machine) viewChanged(now machine.Instant, view *fleet.View) {
+	if view.Self != m.view.Self && m.view.Self != (fleet.Member{}) {
+		m.restart()
+	}
+	m.view, m.viewAt = view, now
+	weight, leaving := int64(0), false
+	if self := view.Find(view.Self.Host); self != nil && self.Member == view.Self {
+		weight = int64(self.Weight)
+		leaving = self.State == fleet.StateLeaving
+	}
+	m.setWeight(now, weight)
+	if leaving && !m.leaving {
+		for _, a := range m.accounts {
+			m.returnAll(a)
+		}
+	}
+	m.leaving = leaving
+	m.forgetPeers()
+}
+
+func (m *Machine) setWeight(now machine.Instant, weight int64) {
+	switch {
+	case weight < m.weight:
+		m.growTo, m.weight = 0, weight
+		m.publishAll(now)
+		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
+	case weight == m.weight:
+		m.growTo = 0
+	case weight != m.growTo:
+		m.growTo, m.growAt = weight, now.Add(growthDelay)
+	}
+}
+
+// grow puts a larger base share in force when its time has come.
+func (m *Machine) grow(now machine.Instant) {
+	if m.growTo == 0 || now < m.growAt {
+		return
+	}
+	m.weight, m.growTo = m.growTo, 0
+	m.publishAll(now)
+	m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.weight))
+}
+
+func (m *Machine) publishAll(now machine.Instant) {
+	for _, a := range m.accounts {
+		m.settle(a, now)
+		m.publishOwn(a)
+	}
+}
+
+func (m *Machine) publishOwn(a *account) {
+	if a.active {
+		m.shares.Deposit(a.id, a.split(m.weight), 0)
+	}
+}
+
+// restart forgets what belonged to another incarnation of this process. Its
+// loans ended before its share was given to others.
+func (m *Machine) restart() {
+	m.weight, m.growTo, m.leaseUntil = 0, 0, 0
+	m.shares.Reset()
+	m.sent = map[uint64]sentRequest{}
+	for _, a := range m.accounts {
+		a.lent, a.borrowed, a.asks = nil, nil, nil
+	}
+}
+
+// forgetPeers drops what is known of incarnations that left the view.
+func (m *Machine) forgetPeers() {
+	present := make(map[fleet.Member]bool, len(m.view.Members))
+	hosts := make(map[fleet.HostID]bool, len(m.view.Members))
+	for i := range m.view.Members {
+		present[m.view.Members[i].Member] = true
+		hosts[m.view.Members[i].Host] = true
+	}
+	for _, heard := range []map[fleet.Member]uint64{m.heard, m.heardSpare} {
+		for member := range heard {
+			if !present[member] {
+				delete(heard, member)
+			}
+		}
+	}
+	for host := range m.heardAt {
+		if !hosts[host] {
+			delete(m.heardAt, host)
+		}
+	}
+	for _, a := range m.accounts {
+		for host := range a.spares {
+			if !hosts[host] {
+				delete(a.spares, host)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/limits/table_test.go
@@ -0,0 +1,204 @@
+package limits
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// fullTable returns a table with a full bucket that does not refill.
+func fullTable(clock traffic.Clock, burst float64, post func(machine.Input)) *Table {
+	t := NewTable(clock, post)
+	t.SetLease(never)
+	t.SetLimit("c", 0, burst)
+	t.Deposit("c", Split{Own: fleet.TotalWeight}, burst)
+	return t
+}
+
+func ignore(machine.Input) {}
+
+// TestAdmitConcurrent guards against tokens that two goroutines spend at once.
+func TestAdmitConcurrent(t *testing.T) {
+	table := fullTable(&manualClock{}, 1000, ignore)
+	var admitted atomic.Int64
+	var group conc.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 250 {
+				if x := table.Begin("c"); x.result != nil {
+					admitted.Add(1)
+				}
+				table.Observe("c", true)
+			}
+		})
+	}
+	group.Wait()
+	require.EqualValues(t, 1000, admitted.Load())
+}
+
+// TestAdmitWaitsForLoan guards against a request that is refused although a loan
+// arrives while it waits, and against a machine that is not told of it.
+func TestAdmitWaitsForLoan(t *testing.T) {
+	demands := make(chan machine.Input, QueueLength)
+	table := fullTable(&manualClock{}, 10, func(in machine.Input) { demands <- in })
+	table.Withdraw("c", fleet.TotalWeight, Split{}, 10)
+	var group conc.WaitGroup
+	group.Go(func() {
+		admission, err := table.Admit(context.Background(), "c")
+		require.NoError(t, err)
+		require.True(t, admission.Valid())
+	})
+	require.Equal(t, Demand{Customer: "c"}, <-demands)
+	table.AddLoan("c", LoanKey{ID: 1}, 200_000, 1, never)
+	group.Wait()
+}
+
+// TestAdmitEndsWithContext guards against requests that wait for nobody.
+func TestAdmitEndsWithContext(t *testing.T) {
+	table := fullTable(&manualClock{}, 0, ignore)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := table.Admit(ctx, "c")
+	var refusal *problem.Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, problem.KindDeadlineExceeded, refusal.Kind)
+	require.Zero(t, table.Observe("c", true).Waiting)
+}
+
+// TestQueueBounds guards against a queue that grows or waits without bound, and
+// against a refusal that does not say when to come back.
+func TestQueueBounds(t *testing.T) {
+	clock := &manualClock{}
+	table := fullTable(clock, 0, ignore)
+	attempts := make([]*Attempt, QueueLength+1)
+	for i := range attempts {
+		attempts[i] = table.Begin("c")
+	}
+	done, _, err := attempts[QueueLength].Poll()
+	require.True(t, done)
+	var refusal *problem.Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, problem.KindRateExceeded, refusal.Kind)
+	require.Equal(t, problem.OutcomeNotRun, refusal.Outcome)
+	require.Positive(t, refusal.RetryAfter)
+	clock.at = clock.at.Add(MaxWait)
+	done, _, err = attempts[0].Poll()
+	require.True(t, done)
+	require.ErrorAs(t, err, &refusal)
+	require.Zero(t, table.Observe("c", true).Waiting)
+}
+
+// TestQueueFair guards against a customer whose queue delays another's requests.
+func TestQueueFair(t *testing.T) {
+	table := fullTable(&manualClock{}, 0, ignore)
+	for range QueueLength {
+		table.Begin("c")
+	}
+	table.SetLimit("d", 0, 1)
+	table.Deposit("d", Split{Own: fleet.TotalWeight}, 1)
+	require.NotNil(t, table.Begin("d").result)
+}
+
+// TestValid guards against a request that is written after its token was lost:
+// the lease ended or was renewed after a gap, the loan behind the token ended,
+// or the customer was withdrawn.
+func TestValid(t *testing.T) {
+	clock := &manualClock{}
+	table := fullTable(clock, 2, ignore)
+	table.Withdraw("c", fleet.TotalWeight, Split{}, 2)
+	table.SetLease(clock.at.Add(10 * time.Second))
+	table.AddLoan("c", LoanKey{ID: 1}, fleet.TotalWeight, 2, clock.at.Add(time.Second))
+	first, second := table.Begin("c").result, table.Begin("c").result
+	require.True(t, first.Valid())
+	clock.at = clock.at.Add(900 * time.Millisecond)
+	table.ExtendLoan("c", LoanKey{ID: 1}, clock.at.Add(time.Second))
+	clock.at = clock.at.Add(900 * time.Millisecond)
+	require.True(t, first.Valid(), "the loan was renewed")
+	clock.at = clock.at.Add(200 * time.Millisecond)
+	require.False(t, second.Valid(), "the loan ended")
+
+	table.Deposit("c", Split{Own: fleet.TotalWeight}, 2)
+	third := table.Begin("c").result
+	require.True(t, third.Valid())
+	clock.at = clock.at.Add(10 * time.Second)
+	require.False(t, third.Valid(), "the lease ended")
+	table.SetLease(clock.at.Add(10 * time.Second))
+	require.False(t, third.Valid(), "the lease was renewed after a gap")
+	fourth := table.Begin("c").result
+	require.True(t, fourth.Valid())
+	table.Remove("c")
+	require.False(t, fourth.Valid(), "the customer was withdrawn")
+}
+
+// TestLoanEndedBeforeItIsAdded guards against tokens of a loan that ended while
+// the control loop was paused on its way to the table.
+func TestLoanEndedBeforeItIsAdded(t *testing.T) {
+	clock := &manualClock{at: machine.Instant(time.Second)}
+	table := fullTable(clock, 10, ignore)
+	table.Withdraw("c", fleet.TotalWeight, Split{}, 10)
+	waiting := table.Begin("c")
+	table.AddLoan("c", LoanKey{ID: 1}, fleet.TotalWeight, 10, clock.at)
+	done, _, _ := waiting.Poll()
+	require.False(t, done)
+}
+
+// TestRefund guards against a refund that is lost while tokens are short, and
+// against one that counts twice.
+func TestRefund(t *testing.T) {
+	clock := &manualClock{}
+	table := fullTable(clock, 4, ignore)
+	first := table.Begin("c").result
+	table.Begin("c")
+	clock.at = clock.at.Add(2 * refundPeriod)
+	table.Observe("c", true)
+	clock.at = clock.at.Add(refundPeriod)
+	table.Observe("c", true)
+	first.Refund()
+	require.EqualValues(t, 2, table.Holding("c").Tokens, "two periods have passed")
+	second := table.Begin("c").result
+	second.Refund()
+	second.Refund()
+	require.EqualValues(t, 2, table.Holding("c").Tokens)
+}
+
+// steadyClock reads the monotonic clock.
+type steadyClock struct{ start time.Time }
+
+func (c steadyClock) Now() machine.Now {
+	return machine.Now{Instant: machine.Instant(time.Since(c.start)), WallMillis: 0}
+}
+
+// BenchmarkAdmit measures an admission and its last check with tokens there.
+func BenchmarkAdmit(b *testing.B) {
+	table := fullTable(steadyClock{time.Now()}, 1e15, ignore)
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := table.Admit(ctx, "c"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkAdmitParallel measures admissions of one customer from all threads.
+func BenchmarkAdmitParallel(b *testing.B) {
+	table := fullTable(steadyClock{time.Now()}, 1e15, ignore)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := table.Admit(ctx, "c"); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
