Add the simulation, fault matrix and baselines of limits

Cause: the window has to hold under every fault, and the loans have to be compared with simpler designs.

--- /dev/null
+++ b/limits/internal/limitsim/baselines.go
@@ -0,0 +1,171 @@
+package limitsim
+
+import (
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
+)
+
+// farFuture is the end of the lease of a baseline that has no leases.
+const farFuture = 1 << 62
+
+// Static gives each host a fixed part of every limit and never changes it.
+var Static = Variant{Name: "static split", New: func(w *World, h *Host) Driver {
+	table := newTable(w, h)
+	table.SetLease(farFuture)
+	return &tableDriver{Table: table, Machine: &staticMachine{table: table, own: fleet.TotalWeight / int64(len(w.hosts))}}
+}}
+
+type staticMachine struct {
+	table *limits.Table
+	own   int64
+}
+
+// Step takes the limits and serves the queues.
+func (m *staticMachine) Step(_ machine.Now, in machine.Input) []machine.Output {
+	if in, ok := in.(limits.SetCustomers); ok {
+		for _, c := range in.Customers {
+			m.table.SetLimit(c.ID, c.Rate, c.Burst)
+			m.table.SetOwn(c.ID, m.own)
+		}
+	}
+	return nil
+}
+
+// Central keeps one counter on the host that World.Center names. Every
+// admission asks it and waits for the answer for at most limits.MaxWait.
+var Central = Variant{Name: "central counter", New: func(w *World, h *Host) Driver {
+	table := newTable(w, h)
+	table.SetLease(farFuture)
+	d := &centralDriver{world: w, host: h, table: table, open: map[uint64]*centralAttempt{}}
+	return d
+}}
+
+type centralAsk struct {
+	Sequence uint64
+	Customer fleet.Customer
+}
+
+// MessageNumber returns a number that no module uses.
+func (centralAsk) MessageNumber() uint16 { return 65000 }
+
+type centralAnswer struct {
+	Sequence uint64
+	Admitted bool
+}
+
+// MessageNumber returns a number that no module uses.
+func (centralAnswer) MessageNumber() uint16 { return 65001 }
+
+type centralDriver struct {
+	world    *World
+	host     *Host
+	table    *limits.Table
+	sequence uint64
+	open     map[uint64]*centralAttempt
+}
+
+type centralAttempt struct {
+	world    *World
+	deadline machine.Instant
+	done     bool
+	admitted bool
+}
+
+// centralCall is the input that starts an admission.
+type centralCall struct{ ask centralAsk }
+
+// MachineInput marks centralCall as an input.
+func (centralCall) MachineInput() {}
+
+// Begin asks the center.
+func (d *centralDriver) Begin(customer fleet.Customer) Attempt {
+	d.sequence++
+	x := &centralAttempt{world: d.world, deadline: d.world.rig.Now().Add(limits.MaxWait)}
+	d.open[d.sequence] = x
+	d.world.rig.Inject(d.host.node, centralCall{centralAsk{Sequence: d.sequence, Customer: customer}})
+	return x
+}
+
+// Holding returns nothing: the baseline has no shares.
+func (d *centralDriver) Holding(fleet.Customer) limits.Holding { return limits.Holding{} }
+
+// Step asks, answers and takes answers.
+func (d *centralDriver) Step(_ machine.Now, in machine.Input) []machine.Output {
+	switch in := in.(type) {
+	case limits.SetCustomers:
+		for _, c := range in.Customers {
+			d.table.SetLimit(c.ID, c.Rate, c.Burst)
+			if d.world.Center == d.host.ID {
+				d.table.SetOwn(c.ID, fleet.TotalWeight)
+			}
+		}
+	case centralCall:
+		if d.world.Center != d.host.ID {
+			return []machine.Output{machine.Send{To: d.world.Center, Message: in.ask}}
+		}
+		d.settle(centralAnswer{Sequence: in.ask.Sequence, Admitted: d.count(in.ask)})
+	case machine.Received:
+		switch m := in.Message.(type) {
+		case centralAsk:
+			answer := centralAnswer{Sequence: m.Sequence, Admitted: d.count(m)}
+			return []machine.Output{machine.Send{To: in.From.Host, Message: answer}}
+		case centralAnswer:
+			d.settle(m)
+		}
+	}
+	return nil
+}
+
+// count spends a token of the counter.
+func (d *centralDriver) count(ask centralAsk) bool {
+	if d.world.Center != d.host.ID || d.table.Holding(ask.Customer).Tokens < 1 {
+		return false
+	}
+	_, admission, _ := d.table.Begin(ask.Customer).Poll()
+	if admission == nil {
+		return false
+	}
+	d.world.check(d.host, d.world.customer(ask.Customer))
+	return true
+}
+
+// becomeCenter takes over the counter with an empty bucket.
+func (d *centralDriver) becomeCenter() {
+	for _, c := range d.world.customers {
+		d.table.SetOwn(c.ID, fleet.TotalWeight)
+	}
+}
+
+func (d *centralDriver) settle(answer centralAnswer) {
+	if x := d.open[answer.Sequence]; x != nil {
+		x.done, x.admitted = true, answer.Admitted
+		delete(d.open, answer.Sequence)
+	}
+}
+
+// Poll returns the center's answer, or a refusal when none came in time.
+func (x *centralAttempt) Poll() (bool, traffic.Admission, error) {
+	switch {
+	case !x.done && x.world.rig.Now() < x.deadline:
+		return false, nil, nil
+	case x.done && x.admitted:
+		return true, centralAdmission{}, nil
+	default:
+		x.admitted = false
+		return true, nil, problem.NotRun(problem.KindRateExceeded, "no token from the central counter").WithRetryAfter(time.Second)
+	}
+}
+
+// centralAdmission is an admission that was checked when the center counted it.
+type centralAdmission struct{}
+
+// Valid returns true: the counter counted the request.
+func (centralAdmission) Valid() bool { return true }
+
+// Refund does nothing.
+func (centralAdmission) Refund() {}
--- /dev/null
+++ b/limits/internal/limitsim/checker.go
@@ -0,0 +1,86 @@
+package limitsim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// tolerance covers rounding of floating-point numbers, in requests.
+const tolerance = 1e-6
+
+// Checker checks the admissions of one customer over all hosts: every window of
+// length t has at most B + R*t of them. While several revisions are in force,
+// the highest rate and burst of them count.
+type Checker struct {
+	rate, burst float64
+	at          machine.Instant
+	// potential is the number of requests that may still be admitted now.
+	potential float64
+	runs      []run
+	refill    float64
+	// Over is the number of admissions beyond the limit. Each is taken as not
+	// admitted for the windows after it.
+	Over int
+}
+
+// run is one admission, with the total refill until then and the burst in force.
+type run struct {
+	at     machine.Instant
+	refill float64
+	burst  float64
+}
+
+// NewChecker returns a checker for a customer whose buckets are full at most.
+func NewChecker(now machine.Instant, rate, burst float64) *Checker {
+	return &Checker{rate: rate, burst: burst, at: now, potential: burst}
+}
+
+// SetLimit changes the highest rate and burst in force.
+func (c *Checker) SetLimit(now machine.Instant, rate, burst float64) {
+	c.advance(now)
+	c.rate, c.burst = rate, burst
+	c.potential = min(c.potential, burst)
+}
+
+func (c *Checker) advance(now machine.Instant) {
+	if now <= c.at {
+		return
+	}
+	gained := c.rate * time.Duration(now-c.at).Seconds()
+	c.refill += gained
+	c.potential = min(c.burst, c.potential+gained)
+	c.at = now
+}
+
+// Admit records an admission and reports whether it was within the limit.
+func (c *Checker) Admit(now machine.Instant) bool {
+	c.advance(now)
+	c.runs = append(c.runs, run{at: now, refill: c.refill, burst: c.burst})
+	if c.potential < 1-tolerance {
+		c.Over++
+		return false
+	}
+	c.potential--
+	return true
+}
+
+// Admissions returns the number of admissions.
+func (c *Checker) Admissions() int { return len(c.runs) }
+
+// AllWindows compares the admissions in every window with the limit, one by
+// one, and returns the first violation. It needs time quadratic in the number
+// of admissions and checks Admit by another way.
+func (c *Checker) AllWindows() string {
+	for i := range c.runs {
+		first := &c.runs[i]
+		for k := i; k < len(c.runs); k++ {
+			bound := first.burst + c.runs[k].refill - first.refill
+			if float64(k-i+1) > bound+tolerance {
+				return fmt.Sprintf("%d admissions in %s where %.3f are allowed", k-i+1, time.Duration(c.runs[k].at-first.at), bound)
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/limits/matrix_test.go
@@ -0,0 +1,44 @@
+package limits_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/internal/faulttest"
+	"github.com/catkinspring/catkinspring/limits/internal/limitsim"
+)
+
+// TestMatrix guards against admissions beyond B + R*t in any window over all
+// hosts, and against sums of tokens, bursts or rates beyond the limit, under
+// each fault and each pair of faults. LIMITS_SWEEP=<seed> runs more steps and
+// pairs with other seeds.
+func TestMatrix(t *testing.T) {
+	first, steps, pairSteps, pairFaults := uint64(1), 5, 1, limitsim.PairFaults
+	if seed, err := strconv.ParseUint(os.Getenv("LIMITS_SWEEP"), 10, 64); err == nil {
+		first, steps, pairSteps, pairFaults = seed, 60, 3, limitsim.Faults
+	}
+	build := func(seed uint64) faulttest.Scenario { return limitsim.NewScenario(seed, limitsim.Loans) }
+	singles := func(seed uint64) faulttest.Matrix {
+		return faulttest.Matrix{Module: "limits", Seeds: []uint64{seed}, Faults: limitsim.Faults, Build: build, MaxSteps: steps}
+	}
+	pairs := faulttest.Matrix{Module: "limits", Seeds: []uint64{first + 2}, Faults: pairFaults, Build: build, PairSteps: pairSteps, PairDelay: 700 * time.Millisecond}
+	for name, matrix := range map[string]faulttest.Matrix{"singles-1": singles(first), "singles-2": singles(first + 1), "pairs": pairs} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			matrix.Run(t)
+		})
+	}
+}
+
+// TestMatrixFindsNaive guards against a matrix that checks nothing: it must find
+// the faults of loans without the precautions of the design.
+func TestMatrixFindsNaive(t *testing.T) {
+	s := limitsim.NewScenario(1, limitsim.Naive)
+	s.Run()
+	require.NotEmpty(t, s.Check())
+	require.Positive(t, s.Over())
+}
