--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -35,6 +35,19 @@
 	until machine.Instant
 }
 
+// LoanUnits is the part of a borrowed loan that is not lent on.
+type LoanUnits struct {
+	Key   LoanKey
+	Units int64
+}
+
+// Split is what a host holds of a customer: the part of its base share that is
+// not lent, and of each loan that changed the part that is not lent on.
+type Split struct {
+	Own   int64
+	Loans []LoanUnits
+}
+
 // bucket is the token bucket of one customer. Its lock is held for a few
 // arithmetic operations and never while waiting.
 type bucket struct {
@@ -90,11 +103,10 @@
 // reshape recomputes what depends on the units and discards tokens above the
 // capacity.
 func (b *bucket) reshape() {
-	units := b.own
+	units := b.units()
 	b.nextEnd = never
-	for i := range b.loans {
-		units += b.loans[i].units
-		b.nextEnd = b.loans[i].until
+	if n := len(b.loans); n > 0 {
+		b.nextEnd = b.loans[n-1].until
 	}
 	b.capacity = unitsOf(units, b.burst)
 	b.fill = unitsOf(units, b.rate) * refillFactor / float64(time.Second)
@@ -168,36 +180,55 @@
 	b.reshape()
 }
 
-// withdraw removes units from the base share and a proportional part of the
-// stored tokens, which it returns.
-func (b *bucket) withdraw(units, own int64) float64 {
-	total := b.own
-	for i := range b.loans {
-		total += b.loans[i].units
-	}
+// withdraw changes the units after some were taken out and returns the stored
+// tokens that go with those: their part, or more if wanted and stored, but never
+// more than their capacity.
+func (b *bucket) withdraw(units int64, left Split, wanted float64) float64 {
+	total := b.units()
 	if total <= 0 || units <= 0 {
 		return 0
 	}
-	tokens := min(b.level*float64(units)/float64(total), unitsOf(units, b.burst))
+	part := b.level * float64(units) / float64(total)
+	tokens := min(b.level, max(part, wanted), unitsOf(units, b.burst))
 	b.level -= tokens
-	b.own = own
-	b.reshape()
+	b.apply(left)
 	return tokens
 }
 
-// deposit sets the units of the base share and adds tokens that came back.
-func (b *bucket) deposit(own int64, tokens float64) {
-	b.own = own
+// deposit changes the units after some came back and adds their tokens.
+func (b *bucket) deposit(held Split, tokens float64) {
 	b.level += tokens
+	b.apply(held)
+}
+
+func (b *bucket) apply(s Split) {
+	b.own = s.Own
+	for _, l := range s.Loans {
+		if i := b.find(l.Key); i >= 0 {
+			b.loans[i].units = l.Units
+		}
+	}
 	b.reshape()
 }
 
+func (b *bucket) units() int64 {
+	units := b.own
+	for i := range b.loans {
+		units += b.loans[i].units
+	}
+	return units
+}
+
 func (b *bucket) find(key LoanKey) int {
 	return slices.IndexFunc(b.loans, func(l heldLoan) bool { return l.key == key })
 }
 
-// addLoan adds a borrowed loan with its tokens.
+// addLoan adds a borrowed loan with its tokens, unless it ended while the control
+// loop was paused between its reading of the clock and this call.
 func (b *bucket) addLoan(l heldLoan, tokens float64) {
+	if l.until <= b.at {
+		return
+	}
 	b.loans = append(b.loans, l)
 	b.sortLoans()
 	b.level += min(tokens, unitsOf(l.units, b.burst))
@@ -228,11 +259,10 @@
 		return 0, 0
 	}
 	units := b.loans[i].units
-	total := b.own
-	for k := range b.loans {
-		total += b.loans[k].units
+	tokens := 0.0
+	if total := b.units(); total > 0 {
+		tokens = min(b.level*float64(units)/float64(total), unitsOf(units, b.burst))
 	}
-	tokens := min(b.level*float64(units)/float64(total), unitsOf(units, b.burst))
 	b.level -= tokens
 	b.loans = slices.Delete(b.loans, i, i+1)
 	b.reshape()
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,6 +23,13 @@
 	adjustInterval = 50 * time.Millisecond
 )
 
+// The kinds of events.
+const (
+	eventShare    = "limits-share"
+	eventRevision = "limits-revision"
+	eventPool     = "limits-pool"
+)
+
 // driftMargin is what the side that waits adds to a duration on the other
 // side's clock.
 func driftMargin(d time.Duration) time.Duration {
@@ -76,6 +84,15 @@
 	heardSpare map[fleet.Member]uint64
 	nextSpare  machine.Instant
 	spareFrom  int
+	// spareAccount is the account with which the next advertisement begins.
+	spareAccount int
+	// heardAt is when a message of a host last came, viewAt when the view came.
+	heardAt map[fleet.HostID]machine.Instant
+	viewAt  machine.Instant
+	// choosePools is when it is decided again which customers this host pools.
+	choosePools machine.Instant
+	// urgent bounds the requests for waiting requests of all customers.
+	urgent budget
 
 	out      []machine.Output
 	requests map[fleet.HostID]*Request
@@ -98,6 +115,8 @@
 		sent:       map[uint64]sentRequest{},
 		heard:      map[fleet.Member]uint64{},
 		heardSpare: map[fleet.Member]uint64{},
+		heardAt:    map[fleet.HostID]machine.Instant{},
+		urgent:     budget{rate: hostAskRate, burst: hostAskBurst, left: hostAskBurst},
 		requests:   map[fleet.HostID]*Request{},
 	}
 }
@@ -132,10 +151,17 @@
 	}
 	m.lastTick = now
 	m.grow(now)
+	choose := now >= m.choosePools
+	if choose {
+		m.choosePools = now.Add(poolPause)
+	}
 	for _, a := range m.accounts {
 		m.settle(a, now)
 		a.usage = m.shares.Observe(a.id, true)
 		a.forecast.observe(a.usage.Arrived, period)
+		if choose {
+			m.choosePool(a, now)
+		}
 		m.borrow(a, now)
 		m.renew(a, now)
 	}
@@ -143,10 +169,30 @@
 	m.advertise(now)
 }
 
+// choosePool decides whether this host gathers the units of the customer.
+func (m *Machine) choosePool(a *account, now machine.Instant) {
+	pooling := m.pools(a, now)
+	if pooling == a.pooling {
+		return
+	}
+	a.pooling = pooling
+	text := "this host no longer pools the customer's units"
+	if pooling {
+		text = "this host pools the customer's units"
+	}
+	m.event(eventPool, a.id, text)
+}
+
+func (m *Machine) event(kind string, customer fleet.Customer, text string) {
+	m.out = append(m.out, machine.Event{Kind: kind, Customer: customer, Subject: string(m.view.Self.Host), Text: text})
+}
+
 // settle ends the loans whose time is over.
 func (m *Machine) settle(a *account, now machine.Instant) {
+	// Loans that were lent on end before the borrowed ones behind them.
+	changed := a.expireLent(now)
 	a.expire(now)
-	if a.expireLent(now) {
+	if changed {
 		m.publishOwn(a)
 	}
 }
@@ -162,6 +208,7 @@
 }
 
 func (m *Machine) receive(now machine.Instant, in machine.Received) {
+	m.heardAt[in.From.Host] = now
 	switch message := in.Message.(type) {
 	case Request:
 		m.request(now, in.From, message)
@@ -179,6 +226,7 @@
 		return
 	}
 	m.revision = in.Revision
+	m.event(eventRevision, "", fmt.Sprintf("revision %d with %d customers in force", in.Revision, len(in.Customers)))
 	for _, a := range m.accounts {
 		a.active = false
 	}
@@ -226,10 +274,10 @@
 // viewChanged takes a new view. A smaller base share applies at once, a larger
 // one after growthDelay.
 func (m *Machine) viewChanged(now machine.Instant, view *fleet.View) {
-	if view.Self != m.view.Self {
+	if view.Self != m.view.Self && m.view.Self != (fleet.Member{}) {
 		m.restart()
 	}
-	m.view = view
+	m.view, m.viewAt = view, now
 	weight, leaving := int64(0), false
 	if self := view.Find(view.Self.Host); self != nil && self.Member == view.Self {
 		weight = int64(self.Weight)
@@ -250,6 +298,7 @@
 	case weight < m.weight:
 		m.growTo, m.weight = 0, weight
 		m.publishAll(now)
+		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
 	case weight == m.weight:
 		m.growTo = 0
 	case weight != m.growTo:
@@ -264,6 +313,7 @@
 	}
 	m.weight, m.growTo = m.growTo, 0
 	m.publishAll(now)
+	m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.weight))
 }
 
 func (m *Machine) publishAll(now machine.Instant) {
@@ -275,7 +325,7 @@
 
 func (m *Machine) publishOwn(a *account) {
 	if a.active {
-		m.shares.SetOwn(a.id, a.own(m.weight))
+		m.shares.Deposit(a.id, a.split(m.weight), 0)
 	}
 }
 
@@ -305,6 +355,11 @@
 			}
 		}
 	}
+	for host := range m.heardAt {
+		if !hosts[host] {
+			delete(m.heardAt, host)
+		}
+	}
 	for _, a := range m.accounts {
 		for host := range a.spares {
 			if !hosts[host] {
--- a/limits/messages.go
+++ b/limits/messages.go
@@ -1,6 +1,8 @@
 package limits
 
 import (
+	"math"
+
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 )
@@ -23,14 +25,28 @@
 	}
 }
 
+// Purpose says what borrowed units are for.
+type Purpose uint8
+
+// The purposes of loans.
+const (
+	// ForDemand covers the expected demand of the borrower.
+	ForDemand Purpose = iota
+	// ForWaiting covers requests that wait for tokens.
+	ForWaiting
+	// ForPool gathers the units of a small burst at one host, which holds whole
+	// tokens for all others. Every other purpose goes before it.
+	ForPool
+)
+
 // Want asks for units of one customer.
 type Want struct {
 	Customer fleet.Customer `cbor:"1,keyasint"`
 	Units    uint32         `cbor:"2,keyasint"`
 	// Held is the number of units that the sender has.
 	Held uint32 `cbor:"3,keyasint,omitempty"`
-	// Urgent is true if requests wait for tokens.
-	Urgent bool `cbor:"4,keyasint,omitempty"`
+	// Purpose says what the units are for.
+	Purpose Purpose `cbor:"4,keyasint,omitempty"`
 }
 
 // Request asks a peer for loans and for the renewal of loans.
@@ -52,8 +68,12 @@
 	Units uint32 `cbor:"3,keyasint,omitempty"`
 	// Microtokens are the stored tokens that move with the units, in millionths.
 	Microtokens uint64 `cbor:"4,keyasint,omitempty"`
-	// Spare is what the sender could still lend.
-	Spare uint32 `cbor:"5,keyasint,omitempty"`
+	// Millis is the duration of the loan if it is shorter than that of the grant.
+	Millis uint32 `cbor:"5,keyasint,omitempty"`
+	// Spare and Stored are what the sender could still lend, in units and in
+	// thousandths of a token.
+	Spare  uint32 `cbor:"6,keyasint,omitempty"`
+	Stored uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant answers a Request. The units and tokens in it were subtracted from the
@@ -94,7 +114,9 @@
 // SpareItem is what a host could lend of one customer.
 type SpareItem struct {
 	Customer fleet.Customer `cbor:"1,keyasint"`
-	Units    uint32         `cbor:"2,keyasint"`
+	Units    uint32         `cbor:"2,keyasint,omitempty"`
+	// Stored is the number of stored tokens, in thousandths.
+	Stored uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Spare advertises what a host could lend. Customers that are not listed have
@@ -107,9 +129,17 @@
 // MessageNumber returns 303.
 func (Spare) MessageNumber() uint16 { return numberSpare }
 
-const microtoken = 1e-6
+const (
+	microtoken = 1e-6
+	millitoken = 1e-3
+)
 
 // toMicrotokens rounds down, so that a transfer never creates tokens.
 func toMicrotokens(tokens float64) uint64 {
 	return uint64(max(0, tokens) / microtoken)
 }
+
+// toMillitokens converts an advertised number of tokens.
+func toMillitokens(tokens float64) uint32 {
+	return uint32(min(max(0, tokens)/millitoken, math.MaxUint32))
+}
--- a/limits/table.go
+++ b/limits/table.go
@@ -83,7 +83,7 @@
 func (t *Table) Admit(ctx context.Context, customer fleet.Customer) (traffic.Admission, error) {
 	b := t.bucket(customer)
 	if b == nil {
-		return nil, problem.NotRun(problem.KindNotReady, "the host holds no limit for the customer").WithRetryAfter(time.Second)
+		return nil, notHeld()
 	}
 	a, w, err := t.admit(b)
 	if a != nil {
@@ -95,6 +95,44 @@
 	return t.wait(ctx, b, w)
 }
 
+// Attempt is an admission that may still wait. It serves callers that can't
+// block, such as simulations under a virtual clock.
+type Attempt struct {
+	table  *Table
+	bucket *bucket
+	waiter *waiter
+	result *admission
+	err    error
+}
+
+// Begin is Admit without waiting. The result comes from Poll.
+func (t *Table) Begin(customer fleet.Customer) *Attempt {
+	b := t.bucket(customer)
+	if b == nil {
+		return &Attempt{err: notHeld()}
+	}
+	a, w, err := t.admit(b)
+	return &Attempt{table: t, bucket: b, waiter: w, result: a, err: err}
+}
+
+// Poll returns false while the attempt waits, and then the result of Admit.
+func (x *Attempt) Poll() (bool, traffic.Admission, error) {
+	if x.waiter != nil {
+		if _, done := x.table.poll(x.bucket, x.waiter); !done {
+			return false, nil, nil
+		}
+		x.result = x.waiter.admission
+		if x.result == nil {
+			x.err = x.table.refusal(x.bucket)
+		}
+		x.waiter = nil
+	}
+	if x.result == nil {
+		return true, nil, x.err
+	}
+	return true, x.result, nil
+}
+
 // admit decides at once, or returns a queued waiter.
 func (t *Table) admit(b *bucket) (*admission, *waiter, error) {
 	b.mu.Lock()
@@ -150,12 +188,17 @@
 	if ctx.Err() != nil {
 		return nil, problem.NotRun(problem.KindDeadlineExceeded, "the request ended while it waited for a token").WithCause(ctx.Err())
 	}
+	return nil, t.refusal(b)
+}
+
+// refusal returns the error for a request that waited in vain.
+func (t *Table) refusal(b *bucket) error {
 	if !t.valid(t.clock.Now().Instant) {
-		return nil, leaseExpired()
+		return leaseExpired()
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return nil, b.rateExceeded()
+	return b.rateExceeded()
 }
 
 // poll serves the queue and returns when the waiter should look again.
@@ -302,6 +345,10 @@
 	return problem.NotRun(problem.KindRateExceeded, "the customer's rate is used up").WithRetryAfter(after)
 }
 
+func notHeld() error {
+	return problem.NotRun(problem.KindNotReady, "the host holds no limit for the customer").WithRetryAfter(time.Second)
+}
+
 func leaseExpired() error {
 	return problem.NotRun(problem.KindLeaseExpired, "the host holds no lease").WithRetryAfter(time.Second)
 }
