--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -38,6 +38,13 @@
 	return fmt.Sprintf("only %d requests and look-ups were sent; %d are needed", e.Sent, minRequests)
 }
 
+// InterruptedError reports a demo that a signal ended early.
+type InterruptedError struct{}
+
+func (*InterruptedError) Error() string {
+	return "interrupted; all processes of the demo have been ended"
+}
+
 // cooperativePlan spreads the events over the 22 s of the scenario.
 func cooperativePlan() plan {
 	return plan{
@@ -69,6 +76,9 @@
 	}
 	say("traffic starts; arrival times are drawn with seed %d", scenario.Seed)
 	e, result, err := f.drive(ctx, scenario, cooperativePlan(), say)
+	if ctx.Err() != nil {
+		return &InterruptedError{}
+	}
 	if err != nil {
 		return err
 	}
