Recycle traces, show the age of store calls, test an outage

Change: traces are recycled; status shows how old a host's last call to the store is; the operators' test also works through an outage.

--- a/cmd/catkinspring/status.go
+++ b/cmd/catkinspring/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/operator/client"
 )
 
@@ -81,7 +82,7 @@
 		rows = append(rows, []string{
 			string(h.Host), st.Incarnation.String()[:8], string(st.Location.Region), string(st.Location.FailureDomain),
 			string(h.State), readiness(st.Ready, st.NotReady), fmt.Sprintf("%.1f s", float64(st.LeaseMillis)/1000),
-			fmt.Sprint(st.Revision), reachable(st.StoreOK), fmt.Sprint(st.Running), st.Version,
+			fmt.Sprint(st.Revision), storeState(st), fmt.Sprint(st.Running), st.Version,
 		})
 	}
 	c.table(rows)
@@ -94,11 +95,22 @@
 	return "no: " + strings.TrimPrefix(why, "not ready: ")
 }
 
-func reachable(ok bool) string {
-	if ok {
-		return "reachable"
-	}
-	return "not reachable"
+// recentCall is the age up to which a call to the store tells its present state.
+const recentCall = 15 * time.Second
+
+func storeState(st *operator.Status) string {
+	state := "not reachable"
+	if st.StoreOK {
+		state = "reachable"
+	}
+	age := time.Duration(st.StoreCallMillis) * time.Millisecond
+	switch {
+	case st.StoreCallMillis < 0:
+		return "not called"
+	case age > recentCall:
+		return fmt.Sprintf("%s %.0f s ago", state, age.Seconds())
+	}
+	return state
 }
 
 func (c *console) customerTable(s *client.Summary) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -144,7 +144,7 @@
 		Key:         f.who.key,
 		Deadline:    deadline,
 		LastCheck:   f.lastCheck,
-		Trace:       &f.trace,
+		Trace:       f.trace,
 	}
 	if f.needsLease() {
 		f.request.Lease = f.g.Lease
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,6 +18,7 @@
 // refuses methods that it does not know and interprets a cookie of its own.
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx, own fasthttp.RequestHandler) {
 	c := newCall(g, ctx)
+	defer c.trace.Release()
 	defer c.recoverPanic()
 	if err := checkFraming(&ctx.Request.Header); err != nil {
 		ctx.SetConnectionClose()
@@ -52,12 +53,12 @@
 	started time.Time
 	// request is set once the request is handed to the dispatcher.
 	request *dispatch.Request
-	trace   requestlog.Trace
+	trace   *requestlog.Trace
 }
 
 func newCall(g *Gateway, ctx *fasthttp.RequestCtx) *call {
 	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
-	c.trace.ID, c.trace.Started = c.id, c.started
+	c.trace = requestlog.Acquire(c.id, c.started)
 	return c
 }
 
@@ -85,7 +86,7 @@
 	writeProblem(c.ctx, c.id, refused)
 	c.closeIfDraining()
 	c.g.metrics.refused(refused)
-	c.g.Requests.Finish(&c.trace, requestlog.End{
+	c.g.Requests.Finish(c.trace, requestlog.End{
 		Status: refused.Status(), Outcome: refused.Outcome, Kind: refused.Kind, Detail: refused.Detail, Took: time.Since(c.started),
 	})
 }
@@ -97,7 +98,7 @@
 	c.closeIfDraining()
 	took := time.Since(c.started)
 	c.g.metrics.answered(c.ctx.Response.StatusCode(), took)
-	c.g.Requests.Finish(&c.trace, requestlog.End{Status: c.ctx.Response.StatusCode(), Outcome: problem.OutcomeRun, Took: took})
+	c.g.Requests.Finish(c.trace, requestlog.End{Status: c.ctx.Response.StatusCode(), Outcome: problem.OutcomeRun, Took: took})
 }
 
 // closeIfDraining tells the caller to open no further request on the connection.
@@ -113,6 +114,7 @@
 	c, ok := ctx.UserValue(callKey{}).(*call)
 	if !ok {
 		c = newCall(g, ctx)
+		defer c.trace.Release()
 	}
 	var routed *fiber.Error
 	if errors.As(err, &routed) && routed.Code == fiber.StatusMethodNotAllowed {
@@ -126,6 +128,7 @@
 // after the answer.
 func (g *Gateway) parseError(ctx *fasthttp.RequestCtx, err error) {
 	c := newCall(g, ctx)
+	defer c.trace.Release()
 	lingerOnClose(ctx.Conn())
 	c.refuse(g.parseProblem(ctx, err))
 }
--- a/host/status.go
+++ b/host/status.go
@@ -49,6 +49,11 @@
 		Revision:    h.state.revision(),
 		StoreOK:     h.state.storeOK.Load(),
 		Running:     h.active.running(),
+
+		StoreCallMillis: -1,
+	}
+	if called := h.state.storeCalled.Load(); called != 0 {
+		s.StoreCallMillis = since(h.clock.Now(), called)
 	}
 	if contacts := h.state.contacts.Load(); contacts != nil {
 		s.Operators = *contacts
--- a/internal/demo/operators_test.go
+++ b/internal/demo/operators_test.go
@@ -23,7 +23,8 @@
 	exitNoteInvalid = 6
 	exitNoteRaced   = 7
 	exitNotInForce  = 8
-	exitCredential  = 10
+	exitUndecided   = 9
+	exitNotAccepted = 11
 	exitNotFound    = 12
 )
 
@@ -91,6 +92,7 @@
 	d.drainUpstream()
 	d.alert()
 	d.look()
+	d.storeDown()
 	d.hostDown()
 }
 
@@ -269,6 +271,31 @@
 	require.Equal(t, 2, code, "an empty credential")
 }
 
+// storeDown works on without the store: the state is shown, a note is refused as
+// not accepted or undecided, and the accepted notes are still listed.
+func (d *desk) storeDown() {
+	t, faults := d.t, "http://"+d.f.Platform+"/admin/faults"
+	require.NoError(t, call(d.ctx, http.MethodPost, faults, "", object{"outage": "hang"}, nil))
+	d.awaitEvent("store.unreachable", "object store is not reachable")
+	code, out := d.command("status")
+	require.Zero(t, code)
+	require.Contains(t, out, "not reachable")
+	file := d.note(`{"id": "in-outage", "changed": {"customers": [{"id": "skole-as", "rate": 35, "burst": 60, "weight": 1}]}}`)
+	code, _ = d.command("note", "apply", file)
+	require.Contains(t, []int{exitUndecided, exitNotAccepted}, code)
+	var notes operator.Notes
+	d.json(0, &notes, "note", "list")
+	require.True(t, notes.Stale)
+	require.Equal(t, "raise", notes.Notes[1].ID)
+	require.NoError(t, call(d.ctx, http.MethodPost, faults, "", object{"outage": "none"}, nil))
+	require.NoError(t, Eventually(d.ctx, readyTimeout, "the note is accepted after the outage", func() error {
+		if code, out := d.command("note", "apply", file); code != 0 {
+			return &StatusError{Method: "note apply", Status: code, Body: out}
+		}
+		return nil
+	}))
+}
+
 // hostDown kills the first host: commands go to the next one and name the one
 // that is missing.
 func (d *desk) hostDown() {
--- a/operator/status.go
+++ b/operator/status.go
@@ -9,19 +9,23 @@
 // Status is the answer of GET /v1/status: what one host knows. Figures of
 // traffic are this host's own; package client adds them up over the hosts.
 type Status struct {
-	Host          fleet.HostID       `json:"host"`
-	Incarnation   fleet.Incarnation  `json:"incarnation"`
-	Location      fleet.Location     `json:"location"`
-	Version       string             `json:"version"`
-	Ready         bool               `json:"ready"`
-	NotReady      string             `json:"notReady,omitempty"`
-	Draining      bool               `json:"draining"`
-	LeaseMillis   int64              `json:"leaseMillis"`
-	Revision      fleet.Revision     `json:"revision"`
-	RosterVersion uint64             `json:"rosterVersion"`
-	StoreOK       bool               `json:"storeReachable"`
-	Members       []fleet.ViewMember `json:"members"`
-	Partitions    int                `json:"partitionsOwned"`
+	Host          fleet.HostID      `json:"host"`
+	Incarnation   fleet.Incarnation `json:"incarnation"`
+	Location      fleet.Location    `json:"location"`
+	Version       string            `json:"version"`
+	Ready         bool              `json:"ready"`
+	NotReady      string            `json:"notReady,omitempty"`
+	Draining      bool              `json:"draining"`
+	LeaseMillis   int64             `json:"leaseMillis"`
+	Revision      fleet.Revision    `json:"revision"`
+	RosterVersion uint64            `json:"rosterVersion"`
+	// StoreOK says how the host's last call to the object store ended, and
+	// StoreCallMillis how long ago that was; negative before the first call. Hosts
+	// of a cell call the store for each other.
+	StoreOK         bool               `json:"storeReachable"`
+	StoreCallMillis int64              `json:"storeCallMillis"`
+	Members         []fleet.ViewMember `json:"members"`
+	Partitions      int                `json:"partitionsOwned"`
 	// Operators are the operators' addresses of the members, where known.
 	Operators map[fleet.HostID]netip.AddrPort `json:"operators,omitempty"`
 	Running   int                             `json:"runningRequests"`
--- a/requestlog/trace.go
+++ b/requestlog/trace.go
@@ -1,6 +1,7 @@
 package requestlog
 
 import (
+	"sync"
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
@@ -47,6 +48,23 @@
 	attempts int
 }
 
+// traces recycles traces, which are larger than everything else that a request
+// needs.
+var traces = sync.Pool{New: func() any { return new(Trace) }}
+
+// Acquire returns the trace of a new request. Release must be called once.
+func Acquire(id string, started time.Time) *Trace {
+	t := traces.Get().(*Trace)
+	t.ID, t.Started = id, started
+	return t
+}
+
+// Release gives the trace back. It must not be used afterwards.
+func (t *Trace) Release() {
+	*t = Trace{}
+	traces.Put(t)
+}
+
 func (t *Trace) add(s step) {
 	if t == nil || t.count == maxSteps {
 		return
