--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,9 +20,9 @@
 
 // The bounds of the callers' interface.
 const (
-	// MaxHeaderBytes bounds the request line and header together.
+	// MaxHeaderBytes is the default bound of the request line and header together.
 	MaxHeaderBytes = 16 << 10
-	// MaxBodyBytes bounds the body whatever the route allows.
+	// MaxBodyBytes is the default bound of the body, whatever the route allows.
 	MaxBodyBytes = 8 << 20
 	// unauthenticatedBodyBytes bounds the body of a request that is going to be
 	// refused, so that callers without a key can't fill the memory.
@@ -61,7 +61,8 @@
 	Claimer traffic.Claimer
 
 	Dispatcher Dispatcher
-	// Quarantined reports whether requests with a fingerprint are refused.
+	// Quarantined reports whether requests with a fingerprint are refused. This
+	// and the next two may be nil, which means never.
 	Quarantined func(fingerprint uint64) bool
 	// KeySuspended reports whether a key id may be about to be withdrawn.
 	KeySuspended func(keyID string) bool
@@ -71,6 +72,10 @@
 
 	// MaxConnections bounds the callers' connections; 0 means the default.
 	MaxConnections int
+	// HeaderBytes bounds the request line and header; 0 means MaxHeaderBytes.
+	HeaderBytes int
+	// BodyBytes bounds the body on every route; 0 means MaxBodyBytes.
+	BodyBytes int
 	// ReadTimeout bounds the time to receive a request; 0 means
 	// RequestReadTimeout.
 	ReadTimeout time.Duration
@@ -93,18 +98,33 @@
 	if config.MaxConnections <= 0 {
 		config.MaxConnections = DefaultMaxConnections
 	}
+	if config.HeaderBytes <= 0 {
+		config.HeaderBytes = MaxHeaderBytes
+	}
+	if config.BodyBytes <= 0 {
+		config.BodyBytes = MaxBodyBytes
+	}
 	if config.ReadTimeout <= 0 {
 		config.ReadTimeout = RequestReadTimeout
 	}
 	if config.Requests == nil {
 		config.Requests = requestlog.Recorders{}
 	}
+	if config.Quarantined == nil {
+		config.Quarantined = func(uint64) bool { return false }
+	}
+	if config.KeySuspended == nil {
+		config.KeySuspended = func(string) bool { return false }
+	}
+	if config.Draining == nil {
+		config.Draining = func() bool { return false }
+	}
 	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
 		StrictRouting:                true,
-		BodyLimit:                    MaxBodyBytes,
-		ReadBufferSize:               MaxHeaderBytes,
+		BodyLimit:                    config.BodyBytes,
+		ReadBufferSize:               config.HeaderBytes,
 		ReadTimeout:                  config.ReadTimeout,
 		WriteTimeout:                 responseWriteTimeout,
 		IdleTimeout:                  idleTimeout,
--- a/host/host.go
+++ b/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/measure"
+	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/operations"
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/peer"
@@ -70,11 +71,14 @@
 	transport *peer.Transport
 	loop      *loop
 	modules   moduleIDs
+	// seen is the last report on peers' revisions; the control loop owns it.
+	seen membership.RevisionSeen
 
 	limits     *limits.Table
 	placement  *placement.Table
 	quarantine *dispatch.Table
 	claims     *operations.Client
+	regions    regionTable
 	dispatcher *dispatch.Dispatcher
 	gateway    *gateway.Gateway
 	operators  *operator.Server
@@ -135,6 +139,7 @@
 	h.requests = timeline.NewRing(s.Host.ID, clock, requestlog.Entries, keys.Redact)
 	h.measures = measure.NewCollector(h.location.Region, time.Now)
 	h.notes.init()
+	h.regions.init()
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -186,6 +191,7 @@
 		return err
 	}
 	h.loop = newLoop(h.clock, effects{send: h.send, call: h.callStore, record: h.record}, h.registry)
+	h.loop.everySecond = h.repeatRevisions
 	h.buildTables()
 	h.addModules()
 	if err := h.openTransport(); err != nil {
@@ -228,7 +234,7 @@
 	h.gateway = gateway.New(gateway.Config{
 		Snapshot:       h.state.snapshot.Load,
 		View:           h.state.view.Load,
-		Regions:        h.state.regions.Load,
+		Regions:        h.regions.cache.Table,
 		Answers:        lookup.NewBuilder(h.settings.Delays.Between, h.settings.Lookup.MaxAge),
 		Lease:          &h.state,
 		Clock:          h.clock,
@@ -238,6 +244,9 @@
 		Quarantined:    h.quarantine.Quarantined,
 		KeySuspended:   h.state.keySuspended,
 		Draining:       h.state.draining.Load,
+		HeaderBytes:    h.settings.Requests.HeaderBytes,
+		BodyBytes:      h.settings.Requests.BodyBytes,
+		ReadTimeout:    h.settings.Requests.ReadTimeout,
 		MaxConnections: h.settings.Requests.Connections,
 		Requests:       requestlog.Recorders{requestlog.NewLog(h.requests, h.location.Region, h.registry), h.measures},
 		Registry:       h.registry,
@@ -265,6 +274,7 @@
 	group.Go(func() { h.loop.run(ctx) })
 	group.Go(func() { h.dispatcher.Run(ctx) })
 	group.Go(func() { h.watchHead(ctx) })
+	group.Go(func() { h.regions.run(ctx) })
 	group.Go(func() { h.pump(ctx) })
 	group.Go(func() { h.serve("callers", h.gateway.Serve, h.listeners.callers) })
 	group.Go(func() { h.serve("operators", h.operators.Serve, h.listeners.operators) })
--- a/host/state.go
+++ b/host/state.go
@@ -7,7 +7,6 @@
 	"github.com/catkinspring/catkinspring/alert"
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/fleet"
-	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/placement"
 )
@@ -18,7 +17,6 @@
 	view      atomic.Pointer[fleet.View]
 	snapshot  atomic.Pointer[configuration.Snapshot]
 	suspended atomic.Pointer[configuration.KeySet]
-	regions   atomic.Pointer[lookup.Table]
 	contacts  atomic.Pointer[map[fleet.HostID]netip.AddrPort]
 	// head is the last head of the configuration that was read or written, as the
 	// store holds it.
@@ -54,20 +52,3 @@
 	}
 	return 0
 }
-
-// watches reports whether this host keeps the watch of its region: the reachable
-// active member with the lowest id does, so that the number of watches grows
-// with the regions and not with the hosts.
-func (s *state) watches(self fleet.HostID, region fleet.Region) bool {
-	view := s.view.Load()
-	if view == nil {
-		return true
-	}
-	for i := range view.Members {
-		m := &view.Members[i]
-		if m.Region == region && m.State == fleet.StateActive && (m.Reachable || m.Host == self) {
-			return m.Host == self
-		}
-	}
-	return true
-}
--- a/internal/demo/metrics_test.go
+++ b/internal/demo/metrics_test.go
@@ -44,7 +44,7 @@
 	for name, kind := range exported {
 		found := ""
 		for row := range documented {
-			if regexp.MustCompile("^" + pattern.ReplaceAllString(row, "[a-z0-9_]+") + "$").MatchString(name) && len(row) > len(found) {
+			if regexp.MustCompile("^"+pattern.ReplaceAllString(row, "[a-z0-9_]+")+"$").MatchString(name) && len(row) > len(found) {
 				found = row
 			}
 		}
--- a/operations/machine.go
+++ b/operations/machine.go
@@ -30,12 +30,14 @@
 	store      storeClient
 	table      *table
 	partitions [fleet.Partitions]partition
-	log        claimLog
-	mode       commitMode
-	requester  requester
-	sealing    map[fleet.Incarnation]*logReader
-	offered    machine.Instant
-	garbage    []*garbageLog
+	// owners holds the last owners of each partition by epoch, as views named them.
+	owners    [fleet.Partitions]map[uint64]fleet.Member
+	log       claimLog
+	mode      commitMode
+	requester requester
+	sealing   map[fleet.Incarnation]*logReader
+	offered   machine.Instant
+	garbage   []*garbageLog
 }
 
 // New returns the state machine of a new incarnation.
@@ -136,6 +138,7 @@
 			m.live[member.Incarnation] = true
 		}
 	}
+	m.noteOwners()
 	m.updatePartitions()
 	m.answerOrphans()
 	m.requester.viewChanged()
@@ -146,6 +149,13 @@
 	return m.view != nil && m.now.Instant < m.lease
 }
 
+// Pending returns the number of attempts of this host that have not ended, or
+// whose end no owner has in its log. A host that leaves before it is 0 leaves
+// ids unknown. It must be called between two steps.
+func (m *Machine) Pending() int {
+	return len(m.requester.attempts) + len(m.requester.outbox.reports)
+}
+
 func (m *Machine) emit(out machine.Output) {
 	m.out = append(m.out, out)
 }
