--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -52,7 +52,7 @@
 	Problem   string          `json:"problem,omitempty"`
 	RequestID string          `json:"requestId,omitempty"`
 	Failure   Failure         `json:"failure,omitempty"`
-	// Error is the text of the error behind Failure.
+	// Error is the text of the error behind Failure, or the detail of a refusal.
 	Error    string `json:"error,omitempty"`
 	Replayed bool   `json:"replayed,omitempty"`
 	// Mismatch says in what a success was not the response to this request.
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -65,7 +65,7 @@
 // its request as unknown, although nothing was sent.
 func (s *sender) hasTime(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
-	return ctx.Err() == nil && (!ok || time.Until(deadline) > 2*s.arrival.customer.ClientDelay)
+	return ctx.Err() == nil && (!ok || time.Until(deadline) > answerMargin+2*s.arrival.customer.ClientDelay)
 }
 
 // choose returns the first host of the answer that was not tried. Again is true
@@ -119,7 +119,7 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	s.write(request, host)
+	s.write(ctx, request, host)
 	delay := s.arrival.customer.ClientDelay
 	pause(ctx, delay)
 	a := Attempt{Host: host, Start: time.Now()}
@@ -140,15 +140,18 @@
 
 // timeout returns the time that an entry host is given. It is shorter than the
 // caller's own, so that a refusal at the end of it still arrives.
-func (s *sender) timeout() time.Duration {
+func (s *sender) timeout(ctx context.Context) time.Duration {
 	own := s.run.scenario.AttemptTimeout
+	if end, ok := ctx.Deadline(); ok {
+		own = min(own, time.Until(end))
+	}
 	return max(own/2, own-answerMargin-2*s.arrival.customer.ClientDelay)
 }
 
-func (s *sender) write(request *fasthttp.Request, host netip.AddrPort) {
+func (s *sender) write(ctx context.Context, request *fasthttp.Request, host netip.AddrPort) {
 	request.SetRequestURI("http://" + host.String() + s.record.Target)
 	request.Header.SetMethod(s.arrival.stream.Method)
-	request.Header.Set("X-Request-Timeout", strconv.FormatInt(s.timeout().Milliseconds(), 10))
+	request.Header.Set("X-Request-Timeout", strconv.FormatInt(s.timeout(ctx).Milliseconds(), 10))
 	if !s.arrival.key.IsZero() {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+s.arrival.key.Reveal())
 	}
@@ -177,9 +180,11 @@
 		return
 	}
 	var document struct {
-		Type string `json:"type"`
+		Type   string `json:"type"`
+		Detail string `json:"detail"`
 	}
 	if decodeJSON(response.Body(), &document) {
+		a.Error = document.Detail
 		a.Problem = strings.TrimPrefix(document.Type, problemTypePrefix)
 	}
 }
