--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -148,8 +148,11 @@
 	return last, eris.Wrap(json.Unmarshal(text, last), "last recorded results")
 }
 
-// resultMode is the mode of result files, which hold no secret.
-const resultMode = 0o644
+// The modes of result files and their folders, which hold no secret.
+const (
+	resultMode = 0o644
+	folderMode = 0o755
+)
 
 func (o *Options) write(scenarios []*Scenario, results *Results) error {
 	if o.JSON != "" {
@@ -173,6 +176,9 @@
 	if err != nil {
 		return eris.Wrap(err, "results")
 	}
+	if err := os.MkdirAll(filepath.Dir(file), folderMode); err != nil {
+		return eris.Wrap(err, "results")
+	}
 	return eris.Wrap(os.WriteFile(file, append(text, '\n'), resultMode), "results")
 }
 
--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -122,7 +122,7 @@
 
 // writePlots writes three plots for each scenario into a folder.
 func writePlots(folder string, scenarios []*Scenario, results *Results) error {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return eris.Wrap(err, "plots")
 	}
 	p50 := func(s Second) float64 { return s.P50 }
