--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -185,3 +185,15 @@
 		"customers[0].streams[0].semantics", "customers[0].streams[0].key",
 	}, paths)
 }
+
+// Guards against an attempt after the end of a request's time: it would be
+// recorded as a timeout, and a request that was refused for certain as unknown.
+func TestNoAttemptAfterTheTime(t *testing.T) {
+	s := &sender{arrival: &arrival{customer: &Customer{ClientDelay: 8 * time.Millisecond}}, run: &run{scenario: &Scenario{AttemptTimeout: 2 * time.Second}}}
+	short, cancel := context.WithTimeout(context.Background(), answerMargin)
+	defer cancel()
+	assert.False(t, s.hasTime(short))
+	assert.True(t, s.hasTime(context.Background()))
+	assert.LessOrEqual(t, s.timeout(short), answerMargin, "an entry host must not be given more time than the caller has")
+	assert.Greater(t, s.timeout(context.Background()), time.Second)
+}
--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -90,7 +90,7 @@
 	const levels = 4
 	for i := range levels + 1 {
 		value := highest * float64(i) / levels
-		v.Levels = append(v.Levels, plotMark{Text: fmt.Sprintf("%.3g", value), X: plotLeft - 4, Y: y(value)})
+		v.Levels = append(v.Levels, plotMark{Text: fmt.Sprintf("%.4g", value), X: plotLeft - 4, Y: y(value)})
 	}
 	at := time.Duration(0)
 	for _, p := range s.Phases {
--- a/internal/naive/request.go
+++ b/internal/naive/request.go
@@ -101,7 +101,7 @@
 	var err error
 	for n := range attempts {
 		request.Header.Set(dispatch.HeaderRequestID, id+"."+strconv.Itoa(n))
-		request.SetRequestURI("http://" + list[rand.IntN(len(list))].String() + string(ctx.RequestURI()))
+		request.SetRequestURI("http://" + list[rand.IntN(len(list))].String() + string(ctx.URI().RequestURI()))
 		request.UseHostHeader = true
 		request.Header.SetHost(host)
 		err = h.client.DoDeadline(request, response, deadline)
