--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -90,7 +90,7 @@
 	const levels = 4
 	for i := range levels + 1 {
 		value := highest * float64(i) / levels
-		v.Levels = append(v.Levels, plotMark{Text: fmt.Sprintf("%.3g", value), X: plotLeft - 4, Y: y(value)})
+		v.Levels = append(v.Levels, plotMark{Text: fmt.Sprintf("%.4g", value), X: plotLeft - 4, Y: y(value)})
 	}
 	at := time.Duration(0)
 	for _, p := range s.Phases {
@@ -122,7 +122,7 @@
 
 // writePlots writes three plots for each scenario into a folder.
 func writePlots(folder string, scenarios []*Scenario, results *Results) error {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return eris.Wrap(err, "plots")
 	}
 	p50 := func(s Second) float64 { return s.P50 }
