Send callers away from silent hosts early, name the customer to upstreams

Cause: the demo showed a killed host in look-up answers for a whole lease, keyed requests refused for 2 s after a start, claims that waited their whole deadline for a dead owner, and upstreams that are not told the customer. Change: a member is unreachable after three heartbeat intervals; a host is ready, and offered to callers, once it holds a share; a growing share keeps the time of its earlier growths; a claim on a silent owner is refused after one unanswered request; X-Customer names the customer and a caller's own is dropped; a planned stop waits up to 5 s for owners to confirm ended operations; the age of the host list reaches membership.

--- a/directory/machine.go
+++ b/directory/machine.go
@@ -112,7 +112,7 @@
 	slices.SortFunc(hosts, func(a, b store.ListedHost) int { return cmp.Compare(a.Name, b.Name) })
 	digest := digestOf(hosts)
 	if m.known && digest == m.digest {
-		return nil, false
+		return []machine.Output{Confirmed{}}, false
 	}
 	m.known = true
 	m.digest = digest
@@ -148,7 +148,7 @@
 	}
 	m.asOf = message.AsOfMillis
 	m.heardAt = now
-	return nil
+	return []machine.Output{Confirmed{}}
 }
 
 func (m *Machine) message() List {
--- a/directory/messages.go
+++ b/directory/messages.go
@@ -85,3 +85,10 @@
 
 // MachineOutput marks Changed as an output.
 func (Changed) MachineOutput() {}
+
+// Confirmed is the output that says that the last list is still current. Some
+// rules of membership depend on how recent the list is.
+type Confirmed struct{}
+
+// MachineOutput marks Confirmed as an output.
+func (Confirmed) MachineOutput() {}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -91,6 +91,9 @@
 
 func (e *exchange) exchangeOn(c *connection, header *fasthttp.RequestHeader, body []byte) outcome {
 	header.Set(HeaderRequestID, e.id)
+	if e.request.Customer != "" {
+		header.Set(HeaderCustomer, string(e.request.Customer))
+	}
 	header.Set(HeaderDeadline, strconv.FormatInt(e.d.upstreamDeadline(e.request), 10))
 	head := e.d.buffers.get()
 	defer e.d.buffers.put(head)
--- a/dispatch/headers.go
+++ b/dispatch/headers.go
@@ -32,6 +32,7 @@
 	"Expect":            true,
 	"X-Request-Timeout": true,
 	HeaderRequestID:     true,
+	HeaderCustomer:      true,
 	HeaderDeadline:      true,
 	HeaderNotRun:        true,
 	HeaderDraining:      true,
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -18,6 +18,9 @@
 // The headers between entry hosts and upstreams.
 const (
 	HeaderRequestID = "X-Request-Id"
+	// HeaderCustomer names the customer whose key came with the request. It is
+	// absent on open routes; a caller's own header of that name is not passed on.
+	HeaderCustomer = "X-Customer"
 	// HeaderDeadline is the time after which an upstream must drop the work, in
 	// Unix milliseconds.
 	HeaderDeadline = "X-Request-Deadline"
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -29,9 +29,10 @@
 	CallerAddress netip.AddrPort
 	// Weight is the member's part of every customer's limit, of TotalWeight.
 	Weight uint32
-	// Confirmed is the highest roster version that the member said it applies.
+	// Confirmed is the highest roster generation that the member said it applies.
 	Confirmed uint64
-	// Reachable is true while the member answered a heartbeat within the lease duration.
+	// Reachable is true while the member answers heartbeats; it becomes false after
+	// three heartbeat intervals of silence. It says nothing of the member's lease.
 	Reachable bool
 	// Load is the member's last advertised load, 0 to 1; negative if unknown.
 	Load float64
@@ -53,7 +54,8 @@
 
 // View is what a host knows of its cell at one moment. It is immutable.
 type View struct {
-	// Version is the store version of the roster behind the view; 0 before the first.
+	// Version is the generation of the roster behind the view; 0 before the first.
+	// It never decreases, also if the store comes back with older versions.
 	Version uint64
 	Self    Member
 	// Members are sorted by host id. Retiring members are included.
--- a/host/drain.go
+++ b/host/drain.go
@@ -66,6 +66,7 @@
 	return h.finishRequests(stop, timeout)
 }
 
+// finishRequests refuses new requests and waits for the running ones.
 func (h *Host) finishRequests(stop context.Context, timeout *time.Timer) error {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
@@ -79,10 +80,33 @@
 			return &DrainTimeoutError{Timeout: h.settings.Drain.Timeout, Active: h.active.running()}
 		}
 	}
+	h.finishReports(stop, ticker)
 	h.record(h.clock.Now(), machine.Event{Kind: "drain.end", Text: "all running requests are finished"})
 	return nil
 }
 
+// reportTimeout bounds the wait for owners that do not confirm the end of an
+// operation. An owner that died may be replaced only after two leases, and the
+// planned stop does not wait for that.
+const reportTimeout = 5 * time.Second
+
+// finishReports waits until the owners of ended operations have confirmed the
+// ends. An id whose end is lost with this host is answered "unknown" later.
+func (h *Host) finishReports(stop context.Context, ticker *time.Ticker) {
+	timeout := time.NewTimer(reportTimeout)
+	defer timeout.Stop()
+	for h.state.pendingReports.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-stop.Done():
+			return
+		case <-timeout.C:
+			h.log.Warn().Int64("operations", h.state.pendingReports.Load()).Msg("owners did not confirm the end of operations")
+			return
+		}
+	}
+}
+
 // shutdownTimeout bounds the closing of the listeners after the drain.
 const shutdownTimeout = 2 * time.Second
 
--- a/host/host.go
+++ b/host/host.go
@@ -71,6 +71,10 @@
 	transport *peer.Transport
 	loop      *loop
 	modules   moduleIDs
+	// operations is owned by the control loop.
+	operations *operations.Machine
+	// listed are the entry hosts of the last host list; the control loop owns them.
+	listed []membership.PlatformHost
 	// seen is the last report on peers' revisions; the control loop owns it.
 	seen membership.RevisionSeen
 
@@ -192,6 +196,7 @@
 	}
 	h.loop = newLoop(h.clock, effects{send: h.send, call: h.callStore, record: h.record}, h.registry)
 	h.loop.everySecond = h.repeatRevisions
+	h.loop.everyTick = func() { h.state.pendingReports.Store(int64(h.operations.Pending())) }
 	h.buildTables()
 	h.addModules()
 	if err := h.openTransport(); err != nil {
--- a/host/loop.go
+++ b/host/loop.go
@@ -52,7 +52,9 @@
 	stopped chan struct{}
 	local   []item
 	effects effects
-	// everySecond is called from the loop, about once a second.
+	// everyTick is called from the loop after each tick, everySecond about once a
+	// second.
+	everyTick   func()
 	everySecond func()
 	nextSecond  machine.Instant
 
@@ -69,6 +71,7 @@
 		stopped: make(chan struct{}),
 		effects: e,
 
+		everyTick:   func() {},
 		everySecond: func() {},
 
 		dropped: metrics.NewRegisteredCounter("control.inputs.dropped", registry),
@@ -153,6 +156,7 @@
 	for id := range l.modules {
 		l.process(item{module: moduleID(id), input: machine.Tick{}})
 	}
+	l.everyTick()
 }
 
 // process applies an input and every input that follows from it.
--- a/host/modules.go
+++ b/host/modules.go
@@ -30,6 +30,7 @@
 }
 
 func (h *Host) addModules() {
+	h.operations = operations.New(operations.Options{Self: h.self})
 	h.modules.membership = h.loop.add(module{
 		name: "membership",
 		machine: membership.New(membership.Options{
@@ -66,7 +67,7 @@
 	}, dispatch.Messages())
 	h.modules.operations = h.loop.add(module{
 		name:    "operations",
-		machine: operations.New(operations.Options{Self: h.self}),
+		machine: h.operations,
 		output:  h.operationsOutput,
 	}, operations.Messages())
 	h.modules.directory = h.loop.add(module{
@@ -212,6 +213,8 @@
 		h.readHosts()
 	case directory.Changed:
 		h.adoptHosts(out.Hosts)
+	case directory.Confirmed:
+		h.loop.forward(h.modules.membership, membership.PlatformHosts{Hosts: h.listed})
 	}
 }
 
@@ -241,7 +244,7 @@
 		h.placement.SetEstimates(out.Estimates)
 		h.placement.SetRemoteLimits(out.Limits)
 		h.loop.forward(h.modules.placement, placement.WorkMeasured{Work: h.placement.InFlight()})
-		h.loop.forward(h.modules.membership, membership.SetLoad{Load: h.active.load()})
+		h.loop.forward(h.modules.membership, membership.SetLoad{Load: h.advertisedLoad()})
 	case placement.Probe:
 		h.startProbe(out)
 	}
--- a/host/outside.go
+++ b/host/outside.go
@@ -185,6 +185,7 @@
 			upstreams = append(upstreams, listedUpstream(l))
 		}
 	}
+	h.listed = entries
 	h.loop.forward(h.modules.membership, membership.PlatformHosts{Hosts: entries})
 	h.loop.forward(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
 }
--- a/host/state.go
+++ b/host/state.go
@@ -25,6 +25,8 @@
 	upstreams atomic.Pointer[[]placement.KnownUpstream]
 	alerts    atomic.Pointer[alert.Current]
 	draining  atomic.Bool
+	// pendingReports counts ended operations whose owner has not confirmed the end.
+	pendingReports atomic.Int64
 	// drainSince is the instant at which the planned stop began; 0 before.
 	drainSince atomic.Int64
 	// storeCalled is the instant of the last answer or failure of the store,
--- a/host/status.go
+++ b/host/status.go
@@ -31,10 +31,21 @@
 		return &NotReadyError{Reason: "no valid lease"}
 	case h.state.snapshot.Load() == nil:
 		return &NotReadyError{Reason: "no configuration yet"}
+	case !h.limits.HasShare():
+		return &NotReadyError{Reason: "no share of the customers' limits yet"}
 	}
 	return nil
 }
 
+// advertisedLoad returns the load that peers and look-up answers go by. A host
+// that is not ready counts as full, so that callers are sent elsewhere.
+func (h *Host) advertisedLoad() float64 {
+	if h.ready() != nil {
+		return 1
+	}
+	return h.active.load()
+}
+
 func (h *Host) status() operator.Status {
 	s := operator.Status{
 		Host:        h.self.Host,
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -54,6 +54,12 @@
 // MachineInput marks SetCustomers as an input.
 func (SetCustomers) MachineInput() {}
 
+// growth is a larger base share and the time at which it takes effect.
+type growth struct {
+	to int64
+	at machine.Instant
+}
+
 // Machine is the control side of the limits.
 type Machine struct {
 	shares Shares
@@ -65,9 +71,8 @@
 
 	// weight is the base share in force, in units.
 	weight int64
-	// growTo takes effect at growAt; 0 if no growth is pending.
-	growTo int64
-	growAt machine.Instant
+	// growths are the larger base shares that are to take effect, ascending.
+	growths []growth
 
 	// accounts are sorted by customer.
 	accounts []*account
@@ -294,26 +299,48 @@
 }
 
 func (m *Machine) setWeight(now machine.Instant, weight int64) {
-	switch {
-	case weight < m.weight:
-		m.growTo, m.weight = 0, weight
+	m.cutGrowths(weight)
+	if weight < m.weight {
+		m.weight = weight
 		m.publishAll(now)
 		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
-	case weight == m.weight:
-		m.growTo = 0
-	case weight != m.growTo:
-		m.growTo, m.growAt = weight, now.Add(growthDelay)
+	}
+	if weight > m.pendingWeight() {
+		m.growths = append(m.growths, growth{to: weight, at: now.Add(growthDelay)})
+	}
+}
+
+// cutGrowths bounds the pending growths by a weight. What is left of a growth
+// keeps its time, because the share has been allowed since it was noted.
+func (m *Machine) cutGrowths(weight int64) {
+	for i := range m.growths {
+		if m.growths[i].to >= weight {
+			m.growths[i].to = weight
+			m.growths = m.growths[:i+1]
+			break
+		}
+	}
+	for len(m.growths) > 0 && m.growths[len(m.growths)-1].to <= m.weight {
+		m.growths = m.growths[:len(m.growths)-1]
 	}
 }
 
-// grow puts a larger base share in force when its time has come.
+// pendingWeight returns the base share once all growths are in force.
+func (m *Machine) pendingWeight() int64 {
+	if len(m.growths) == 0 {
+		return m.weight
+	}
+	return m.growths[len(m.growths)-1].to
+}
+
+// grow puts the larger base shares in force whose time has come.
 func (m *Machine) grow(now machine.Instant) {
-	if m.growTo == 0 || now < m.growAt {
-		return
+	for len(m.growths) > 0 && now >= m.growths[0].at {
+		m.weight = m.growths[0].to
+		m.growths = m.growths[1:]
+		m.publishAll(now)
+		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.weight))
 	}
-	m.weight, m.growTo = m.growTo, 0
-	m.publishAll(now)
-	m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.weight))
 }
 
 func (m *Machine) publishAll(now machine.Instant) {
@@ -332,7 +359,7 @@
 // restart forgets what belonged to another incarnation of this process. Its
 // loans ended before its share was given to others.
 func (m *Machine) restart() {
-	m.weight, m.growTo, m.leaseUntil = 0, 0, 0
+	m.weight, m.growths, m.leaseUntil = 0, nil, 0
 	m.shares.Reset()
 	m.sent = map[uint64]sentRequest{}
 	for _, a := range m.accounts {
--- a/limits/table.go
+++ b/limits/table.go
@@ -352,3 +352,18 @@
 func leaseExpired() error {
 	return problem.NotRun(problem.KindLeaseExpired, "the host holds no lease").WithRetryAfter(time.Second)
 }
+
+// HasShare reports whether the host holds a part of some customer's limit, or
+// there is no customer. A host that started has none for a while.
+func (t *Table) HasShare() bool {
+	buckets := *t.buckets.Load()
+	for _, b := range buckets {
+		b.mu.Lock()
+		holds := b.own > 0
+		b.mu.Unlock()
+		if holds {
+			return true
+		}
+	}
+	return len(buckets) == 0
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,6 +20,10 @@
 const (
 	heartbeatsPerLease = 8
 	readsPerLease      = 3
+	// reachableHeartbeats is the number of heartbeat intervals without an answer
+	// after which a member counts as unreachable. Callers are sent elsewhere long
+	// before its lease ends; two lost heartbeats change nothing.
+	reachableHeartbeats = 3
 )
 
 // dutyInterval is the shortest time between two updates of the roster by one
--- a/membership/view.go
+++ b/membership/view.go
@@ -146,7 +146,7 @@
 		return v
 	}
 	v.Load = p.load
-	v.Reachable = p.everHeard && m.now.Instant.Sub(p.answered) <= m.o.LeaseDuration
+	v.Reachable = p.everHeard && m.now.Instant.Sub(p.answered) <= reachableHeartbeats*m.heartbeatInterval()
 	if p.draining && e.State == stateActive {
 		v.State = fleet.StateLeaving
 	}
--- a/operations/requester.go
+++ b/operations/requester.go
@@ -100,7 +100,7 @@
 		if r.attempts[a.request.Attempt] != a || a.held {
 			continue
 		}
-		if now >= a.deadline {
+		if now >= a.deadline || now >= a.next && r.ownerSilent(a) {
 			r.expire(a)
 			continue
 		}
@@ -114,6 +114,17 @@
 	r.outbox.tick()
 }
 
+// ownerSilent reports whether an attempt waits for an owner that did not answer
+// it and that is not heard of. Its caller is refused at once and need not wait
+// for its whole deadline at each entry host until the partition has moved.
+func (r *requester) ownerSilent(a *attempt) bool {
+	if !a.asked || a.waiting || a.owner != r.owner(a.partition) || a.owner == r.m.o.Self {
+		return false
+	}
+	member := r.m.view.Find(a.owner.Host)
+	return member != nil && !member.Reachable
+}
+
 // expire ends an attempt that no owner decided in time.
 func (r *requester) expire(a *attempt) {
 	d := DecisionUnavailable
--- a/operations/views_test.go
+++ b/operations/views_test.go
@@ -280,7 +280,7 @@
 		if m.leaving {
 			state = fleet.StateLeaving
 		}
-		members = append(members, fleet.ViewMember{Member: m.p.node.Member, State: state})
+		members = append(members, fleet.ViewMember{Member: m.p.node.Member, State: state, Reachable: true})
 	}
 	for _, m := range s.members {
 		if m.p.version >= s.version || !s.reach(m.p) {
