Keep the store call ids of both machines apart in the operations tests

Cause: TestMatrix/membership failed in all cells after the merge of membership, whose call ids are random 64-bit numbers. The rig doubled the ids to tell the two machines apart and so lost the top bit; two of four hosts never got their results and never joined. Change: the rig keeps a table of calls. No check was changed. Result: go test ./operations passes; before, all 33 cells with the real membership failed.

--- a/operations/rig_test.go
+++ b/operations/rig_test.go
@@ -30,10 +30,18 @@
 	left       bool
 	attempts   uint64
 	waiting    map[uint64]*call
+	// storeCalls are the calls of both machines by the ids that the rig sees.
+	storeCalls []storeCall
+}
+
+// storeCall is a store call of one of the two machines of a process.
+type storeCall struct {
+	id         uint64
+	operations bool
 }
 
 // Step applies an input to the two machines and passes on what one of them has
-// for the other. Store calls of membership get even ids.
+// for the other.
 func (p *process) Step(now machine.Now, in machine.Input) []machine.Output {
 	if p.membership == nil {
 		if v, ok := in.(machine.ViewChanged); ok {
@@ -45,27 +53,28 @@
 		return p.operations.Step(now, in)
 	}
 	if r, ok := in.(machine.StoreResult); ok {
-		odd := r.ID%2 == 1
-		r.ID /= 2
-		if odd {
-			return p.pass(now, 1, p.operations.Step(now, r))
+		of := p.storeCalls[r.ID]
+		r.ID = of.id
+		if of.operations {
+			return p.pass(now, true, p.operations.Step(now, r))
 		}
-		return p.pass(now, 0, p.membership.Step(now, r))
+		return p.pass(now, false, p.membership.Step(now, r))
 	}
 	// Each machine ignores the inputs of the other.
-	out := p.pass(now, 0, p.membership.Step(now, in))
-	return append(out, p.pass(now, 1, p.operations.Step(now, in))...)
+	out := p.pass(now, false, p.membership.Step(now, in))
+	return append(out, p.pass(now, true, p.operations.Step(now, in))...)
 }
 
 // pass gives outputs that the other machine waits for to it and returns the rest.
-func (p *process) pass(now machine.Now, parity uint64, outputs []machine.Output) []machine.Output {
+func (p *process) pass(now machine.Now, fromOperations bool, outputs []machine.Output) []machine.Output {
 	var out []machine.Output
-	toOperations := func(in machine.Input) { out = append(out, p.pass(now, 1, p.operations.Step(now, in))...) }
-	toMembership := func(in machine.Input) { out = append(out, p.pass(now, 0, p.membership.Step(now, in))...) }
+	toOperations := func(in machine.Input) { out = append(out, p.pass(now, true, p.operations.Step(now, in))...) }
+	toMembership := func(in machine.Input) { out = append(out, p.pass(now, false, p.membership.Step(now, in))...) }
 	for _, o := range outputs {
 		switch o := o.(type) {
 		case machine.StoreCall:
-			o.ID = 2*o.ID + parity
+			p.storeCalls = append(p.storeCalls, storeCall{id: o.ID, operations: fromOperations})
+			o.ID = uint64(len(p.storeCalls) - 1)
 			out = append(out, o)
 		case membership.ViewPublished:
 			p.view = o.View
