--- a/limits/forecast.go
+++ b/limits/forecast.go
@@ -14,9 +14,12 @@
 	fastWindow = time.Second
 	slowWindow = 8 * time.Second
 	// rateHeadroom is the factor between forecast demand and wanted refill rate.
-	rateHeadroom = 1.08
+	rateHeadroom = 1.05
 	// idleRate is the demand below which a host keeps nothing for itself.
 	idleRate = 0.02
+	// minTokens is the smallest capacity that a host keeps for its own demand. A
+	// customer whose base shares hold less is pooled.
+	minTokens = 4
 )
 
 // forecast estimates the demand of one customer on this host.
@@ -47,7 +50,9 @@
 }
 
 // units returns the units that the expected demand needs for a customer's rate
-// and burst: the refill rate, and a capacity of at least one token.
+// and burst. It is 0 if they would hold fewer than minTokens: such a host takes
+// tokens from the pool when a request comes, because a share that holds few
+// tokens refuses requests that another host's tokens could serve.
 func (f *forecast) units(rate, burst, headroom float64) int64 {
 	expected := f.rate()
 	if expected < idleRate || rate <= 0 || burst <= 0 {
@@ -55,7 +60,11 @@
 	}
 	refill := expected * headroom / rate
 	// The queue evens out what the capacity does not hold, so a small burst asks
-	// for little more than the one token without which nothing is admitted.
-	capacity := min((1+math.Sqrt(expected)/2)/burst, max(1/burst, 1.2*refill))
-	return int64(math.Ceil(min(1, max(refill, capacity)) * fleet.TotalWeight))
+	// for little more than its part of the rate.
+	capacity := min((1+math.Sqrt(expected)/2)/burst, 1.2*refill)
+	part := max(refill, capacity)
+	if part*burst < minTokens {
+		return 0
+	}
+	return int64(math.Ceil(min(1, part) * fleet.TotalWeight))
 }
--- a/limits/lend.go
+++ b/limits/lend.go
@@ -10,13 +10,9 @@
 const (
 	// minLoan is the smallest loan that is worth its messages, in units.
 	minLoan = 100
-	// spareInterval is the time between two advertisements.
-	spareInterval = time.Second
-	// spareFanout bounds the peers that get one advertisement. In a larger cell
-	// the peers take turns.
-	spareFanout = 12
-	// spareItems bounds the customers in one advertisement.
-	spareItems = 64
+	// noPoolTime is the time in which nothing is lent to a pool after another
+	// purpose found too little.
+	noPoolTime = 3 * time.Second
 )
 
 // request answers a peer's request. What is lent is subtracted here before the
@@ -33,14 +29,13 @@
 		return
 	}
 	g := Grant{Sequence: r.Sequence, To: from.Incarnation, Millis: uint32(duration.Milliseconds())}
-	until := now.Add(duration + driftMargin(duration))
 	for _, id := range r.Renewals {
-		if m.prolong(now, from, id, until) {
+		if m.prolong(now, from, id, now.Add(duration+driftMargin(duration))) {
 			g.Renewed = append(g.Renewed, id)
 		}
 	}
 	for _, w := range r.Wants {
-		g.Loans = append(g.Loans, m.lend(now, from, w, until))
+		g.Loans = append(g.Loans, m.lend(now, from, w, duration))
 	}
 	m.send(from.Host, g)
 }
@@ -51,24 +46,27 @@
 	return peer != nil && peer.Member == from && lends(peer)
 }
 
-// prolong renews a loan unless the host needs the units itself.
+// prolong renews a loan unless the host needs the units itself. Loans of
+// borrowed units are not renewed, because their end hangs on another loan.
 func (m *Machine) prolong(now machine.Instant, from fleet.Member, id uint64, until machine.Instant) bool {
 	for _, a := range m.accounts {
-		i := a.findLent(id)
-		if i < 0 {
+		if a.findLent(id) < 0 {
 			continue
 		}
 		m.settle(a, now)
-		i = a.findLent(id)
-		if i < 0 || a.lent[i].to != from || !a.active || a.lentUnits() > m.weight {
+		i := a.findLent(id)
+		if i < 0 || a.lent[i].to != from || !a.active || a.lentOwn() > m.weight {
 			return false
 		}
 		l := &a.lent[i]
-		if l.recalled || m.lacks(a) {
+		ofOwn := len(l.parts) == 1 && l.parts[0].key == (LoanKey{})
+		if l.recalled || !ofOwn || l.purpose == ForPool && now < a.noPoolUntil || m.lacks(a) {
 			l.recalled = true
 			return false
 		}
-		l.until = until
+		// A renewal near the end of the lease is shorter than the loan before it,
+		// which the borrower may still use to its end.
+		l.until = max(l.until, until)
 		return true
 	}
 	return false
@@ -87,7 +85,7 @@
 }
 
 // lend gives a loan of what the host can spare.
-func (m *Machine) lend(now machine.Instant, from fleet.Member, w Want, until machine.Instant) Loan {
+func (m *Machine) lend(now machine.Instant, from fleet.Member, w Want, longest time.Duration) Loan {
 	answer := Loan{Customer: w.Customer}
 	a := m.index[w.Customer]
 	if a == nil || !a.active {
@@ -95,32 +93,67 @@
 	}
 	m.settle(a, now)
 	a.usage = m.shares.Observe(a.id, false)
-	spare := a.spare(m.weight, w.Urgent)
+	spare := a.spare(m.weight, w.Purpose, now)
 	if m.yields(a, from, w) {
 		spare = m.yield(a, now)
 	}
-	units := min(int64(w.Units), spare)
-	if units < minLoan {
-		answer.Spare = uint32(spare)
-		return answer
+	if w.Purpose == ForDemand && int64(w.Units) > spare && a.lentToPool() > 0 {
+		a.noPoolUntil = now.Add(noPoolTime)
+	}
+	if a.pooling && w.Purpose == ForWaiting && a.usage.Level < min(1, unitsOf(int64(w.Units), a.burst)) {
+		// Parts of a token at several hosts admit nothing. The pool keeps them until
+		// they are what a host lacks.
+		spare = 0
+	}
+	if units := min(int64(w.Units), spare); units >= minLoan {
+		m.give(a, from, w, units, spare, longest, now, &answer)
+		spare -= units
 	}
+	answer.Spare = uint32(m.advertised(a, spare))
+	answer.Stored = toMillitokens(a.usage.Level)
+	return answer
+}
+
+// give records a loan, subtracts it and fills in the answer.
+func (m *Machine) give(a *account, from fleet.Member, w Want, units, spare int64, longest time.Duration, now machine.Instant, answer *Loan) {
+	wanted := 0.0
+	if w.Purpose == ForWaiting {
+		wanted = a.usage.Level * float64(spare) / float64(max(1, a.held(m.weight)))
+	}
+	parts, duration := a.cut(units, m.weight, now)
+	duration = min(duration, longest)
 	m.loanID++
-	a.lent = append(a.lent, lentLoan{id: m.loanID, to: from, units: units, until: until})
-	tokens := m.shares.Withdraw(a.id, units, a.own(m.weight))
+	a.lent = append(a.lent, lentLoan{
+		id:      m.loanID,
+		to:      from,
+		units:   units,
+		parts:   parts,
+		purpose: w.Purpose,
+		until:   now.Add(duration + driftMargin(duration)),
+	})
+	tokens := m.shares.Withdraw(a.id, units, a.split(m.weight), wanted)
+	a.usage.Level -= tokens
 	answer.ID = m.loanID
 	answer.Units = uint32(units)
 	answer.Microtokens = toMicrotokens(tokens)
-	answer.Spare = uint32(spare - units)
-	return answer
+	if duration < longest {
+		answer.Millis = uint32(duration.Milliseconds())
+	}
+}
+
+// advertised returns the figure that peers are told: the spare units and those
+// that a pool would give up.
+func (m *Machine) advertised(a *account, spare int64) int64 {
+	return spare + a.lentToPool()
 }
 
-// yields reports whether this host leaves its units to the sender of an urgent
-// request. With a burst of few tokens, several hosts can each hold a part of
-// one token, of which none admits a request. The host that holds the most gets
-// the others' parts.
+// yields reports whether this host, on which requests wait, leaves its units to
+// the sender of an urgent request. With a burst of few tokens, several hosts can
+// each hold a part of one token, of which none admits a request. The host that
+// holds the most gets the others' parts.
 func (m *Machine) yields(a *account, from fleet.Member, w Want) bool {
 	held := a.held(m.weight)
-	if !w.Urgent || held >= a.tokenUnits(1) {
+	if w.Purpose != ForWaiting || a.usage.Waiting == 0 || held >= a.tokenUnits(1) {
 		return false
 	}
 	if held != int64(w.Held) {
@@ -149,63 +182,19 @@
 
 func (m *Machine) takeBack(now machine.Instant, from fleet.Member, l ReturnedLoan) {
 	for _, a := range m.accounts {
-		m.settle(a, now)
-		i := a.findLent(l.ID)
-		if i < 0 {
+		if a.findLent(l.ID) < 0 {
 			continue
 		}
-		if a.lent[i].to != from {
+		m.settle(a, now)
+		i := a.findLent(l.ID)
+		if i < 0 || a.lent[i].to != from {
 			return
 		}
 		tokens := min(float64(l.Microtokens)*microtoken, unitsOf(a.lent[i].units, a.burst))
-		a.lent = append(a.lent[:i], a.lent[i+1:]...)
+		a.settleLent(i)
 		if a.active {
-			m.shares.Deposit(a.id, a.own(m.weight), tokens)
+			m.shares.Deposit(a.id, a.split(m.weight), tokens)
 		}
 		return
 	}
 }
-
-// spare takes an advertisement.
-func (m *Machine) spare(now machine.Instant, from fleet.Member, s Spare) {
-	if s.Sequence <= m.heardSpare[from] || !m.knows(from) {
-		return
-	}
-	m.heardSpare[from] = s.Sequence
-	for _, a := range m.accounts {
-		a.spares[from.Host] = figure{at: now}
-	}
-	for _, item := range s.Items {
-		if a := m.index[item.Customer]; a != nil {
-			a.spares[from.Host] = figure{units: int64(item.Units), at: now}
-		}
-	}
-}
-
-// advertise tells peers what the host could lend.
-func (m *Machine) advertise(now machine.Instant) {
-	if now < m.nextSpare || now >= m.leaseUntil {
-		return
-	}
-	m.nextSpare = now.Add(spareInterval)
-	m.sequence++
-	s := Spare{Sequence: m.sequence}
-	for _, a := range m.accounts {
-		if units := a.spare(m.weight, false); a.active && units >= minLoan && len(s.Items) < spareItems {
-			s.Items = append(s.Items, SpareItem{Customer: a.id, Units: uint32(units)})
-		}
-	}
-	members := m.view.Members
-	sent := 0
-	for range members {
-		if sent == spareFanout {
-			return
-		}
-		peer := &members[m.spareFrom%len(members)]
-		m.spareFrom++
-		if peer.Member != m.view.Self && lends(peer) {
-			m.send(peer.Host, s)
-			sent++
-		}
-	}
-}
--- a/limits/shares.go
+++ b/limits/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -22,11 +23,11 @@
 	Remove(customer fleet.Customer)
 	// SetOwn publishes the units of the base share that are not lent.
 	SetOwn(customer fleet.Customer, own int64)
-	// Withdraw sets own after units were taken out of it and returns the stored
-	// tokens that go with them.
-	Withdraw(customer fleet.Customer, units, own int64) float64
-	// Deposit sets own after units came back with tokens.
-	Deposit(customer fleet.Customer, own int64, tokens float64)
+	// Withdraw publishes what is left after units were taken out and returns the
+	// stored tokens that go with them, more than their part if wanted.
+	Withdraw(customer fleet.Customer, units int64, left Split, wanted float64) float64
+	// Deposit publishes what is held after units came back with tokens.
+	Deposit(customer fleet.Customer, held Split, tokens float64)
 	// AddLoan adds borrowed units with tokens until an instant.
 	AddLoan(customer fleet.Customer, key LoanKey, units int64, tokens float64, until machine.Instant)
 	// ExtendLoan moves the end of a loan.
@@ -93,19 +94,19 @@
 
 // SetOwn publishes the units of the base share that are not lent.
 func (t *Table) SetOwn(customer fleet.Customer, own int64) {
-	t.Deposit(customer, own, 0)
+	t.Deposit(customer, Split{Own: own}, 0)
 }
 
-// Withdraw takes units and their part of the stored tokens out of the bucket.
-func (t *Table) Withdraw(customer fleet.Customer, units, own int64) float64 {
+// Withdraw takes units and stored tokens out of the bucket.
+func (t *Table) Withdraw(customer fleet.Customer, units int64, left Split, wanted float64) float64 {
 	tokens := 0.0
-	t.with(customer, func(b *bucket) { tokens = b.withdraw(units, own) })
+	t.with(customer, func(b *bucket) { tokens = b.withdraw(units, left, wanted) })
 	return tokens
 }
 
-// Deposit puts units and tokens back into the base share.
-func (t *Table) Deposit(customer fleet.Customer, own int64, tokens float64) {
-	t.with(customer, func(b *bucket) { b.deposit(own, tokens) })
+// Deposit puts units and tokens back into the bucket.
+func (t *Table) Deposit(customer fleet.Customer, held Split, tokens float64) {
+	t.with(customer, func(b *bucket) { b.deposit(held, tokens) })
 }
 
 // AddLoan adds borrowed units and tokens and serves the queue with them.
@@ -167,3 +168,26 @@
 	f(next)
 	t.buckets.Store(&next)
 }
+
+// Holding is what a host holds of a customer's limit at one moment.
+type Holding struct {
+	Tokens float64
+	Burst  float64
+	// Rate is the refill rate in requests a second.
+	Rate float64
+}
+
+// Holding returns what the host holds of a customer's limit, nothing without a
+// lease. It is for metrics and for the checks of invariants.
+func (t *Table) Holding(customer fleet.Customer) Holding {
+	b := t.bucket(customer)
+	if b == nil {
+		return Holding{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, valid := t.advance(b); !valid {
+		return Holding{}
+	}
+	return Holding{Tokens: b.level, Burst: b.capacity, Rate: b.fill * float64(time.Second)}
+}
