--- a/requestlog/trace.go
+++ b/requestlog/trace.go
@@ -26,7 +26,6 @@
 // step is one thing that happened to a request.
 type step struct {
 	kind     stepKind
-	at       time.Duration
 	took     time.Duration
 	upstream fleet.Upstream
 	location fleet.Location
@@ -69,7 +68,6 @@
 	if t == nil || t.count == maxSteps {
 		return
 	}
-	s.at = time.Since(t.Started)
 	t.steps[t.count] = s
 	t.count++
 }
