Show refusals by rate for each phase and the demo's new measure of wrongful ones

The replay of first attempts that the row needs is in this package, and the demo's measure has a row of its own.

--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -161,7 +161,9 @@
 			continue
 		}
 		s := o.sampleOf(func(r *load.Record) bool { return usual(r) && o.within(i, r) })
-		c.add(p.Name+": p50 / p99 ms, other refusals, not answered", 1, s.millis(50), s.millis(99), float64(s.refused), s.unanswered())
+		c.add(p.Name+": p50 / p99 ms", 1, s.millis(50), s.millis(99))
+		c.add(p.Name+": requests / refused at first by rate / for another reason / not answered", 0,
+			s.sent(), float64(s.limited), float64(s.refused), s.unanswered())
 	}
 	headroom, region := o.headroom()
 	c.add("headroom of the fullest region, %", 1, 100*headroom).Note = string(region)
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -65,14 +65,15 @@
 }
 
 const (
-	rowCentral = "wrongful refusals, central bucket over first attempts, of those within it"
+	rowDemo    = "wrongful refusals, customers always within their rate, as internal/demo"
+	rowCentral = "wrongful refusals, central bucket over first attempts, customers that do not surge"
 	rowSpare   = "wrongful refusals, possible besides all that was admitted, of keyed requests"
 )
 
 // Guards against a table that shows faults for a run that kept every promise.
 func TestFaultlessRun(t *testing.T) {
 	o := recorded(1000, 1500, 1900)
-	for _, name := range []string{"duplicated", "lost", "wrong or truncated", "cut at hosts that nobody killed", rowCentral, rowSpare,
+	for _, name := range []string{"duplicated", "lost", "wrong or truncated", "cut at hosts that nobody killed", rowDemo, rowCentral, rowSpare,
 		"over-admission, requests (certain / by run starts)", `"not-run" that ran`} {
 		assert.Zero(t, first(t, o, name), name)
 	}
@@ -93,6 +94,7 @@
 			o.records[0].Attempts[0].Failure = load.FailureTruncated
 		},
 		`"not-run" that ran`: func(o *observation) { o.records[0].Attempts[0].Outcome = problem.OutcomeNotRun },
+		rowDemo:              func(o *observation) { o.refuse(1) },
 		rowCentral:           func(o *observation) { o.refuse(1) },
 		rowSpare:             func(o *observation) { o.refuse(1) },
 		"customers that do not surge: other refusals of first attempts": func(o *observation) {
--- a/internal/measure/refusals.go
+++ b/internal/measure/refusals.go
@@ -13,30 +13,28 @@
 )
 
 // addRefusals adds the requests that were refused by rate although within it, by
-// two measures.
+// three measures.
 func (o *observation) addRefusals(c *Column, usual func(*load.Record) bool) {
-	specs := o.scenario.spec().Customers
-	central := func(name string, match func(*load.Record) bool) {
-		var records []load.Record
-		for i := range o.records {
-			if match(&o.records[i]) {
-				records = append(records, o.records[i])
+	var records []load.Record
+	keyed := 0
+	for i := range o.records {
+		if r := &o.records[i]; o.counted(r) {
+			records = append(records, *r)
+			if r.Keyed {
+				keyed++
 			}
 		}
-		wrongful, admitted := demo.WrongfulRefusals(specs, records)
-		addPart(c, name, wrongful, admitted)
 	}
-	central("wrongful refusals, central bucket over first attempts, of those within it", o.counted)
-	central("the same, customers that do not surge", usual)
-	spare, keyed := 0, 0
+	wrongful, admitted := demo.WrongfulRefusals(o.scenario.spec().Customers, records)
+	addPart(c, "wrongful refusals, customers always within their rate, as internal/demo", wrongful, admitted)
+	central, within, spare := 0, 0, 0
 	for i := range o.scenario.Customers {
-		spare += o.spareRefusals(&o.scenario.Customers[i])
-	}
-	for i := range o.records {
-		if r := &o.records[i]; r.Keyed && o.counted(r) {
-			keyed++
-		}
+		customer := &o.scenario.Customers[i]
+		n, of := o.centralRefusals(customer, usual)
+		central, within = central+n, within+of
+		spare += o.spareRefusals(customer)
 	}
+	addPart(c, "wrongful refusals, central bucket over first attempts, customers that do not surge", central, within)
 	addPart(c, "wrongful refusals, possible besides all that was admitted, of keyed requests", spare, keyed)
 }
 
@@ -44,11 +42,38 @@
 	c.add(name, 0, float64(part), float64(of)).Note = fmt.Sprintf("%.2f%%", 100*float64(part)/float64(max(1, of)))
 }
 
+// centralRefusals replays first attempts of a customer against one bucket, full
+// at the start, and returns those that it admits although they were refused by
+// rate, and all that it admits. Other refusals take no token.
+func (o *observation) centralRefusals(c *Customer, match func(*load.Record) bool) (wrongful, admitted int) {
+	var attempts []*load.Attempt
+	for i := range o.records {
+		r := &o.records[i]
+		if r.Customer == c.ID && r.Keyed && match(r) && len(r.Attempts) > 0 && (limited(&r.Attempts[0]) || tookToken(&r.Attempts[0])) {
+			attempts = append(attempts, &r.Attempts[0])
+		}
+	}
+	slices.SortFunc(attempts, func(a, b *load.Attempt) int { return a.Start.Compare(b.Start) })
+	level, at := c.Burst, o.start
+	for _, a := range attempts {
+		level = min(c.Burst, level+c.Rate*a.Start.Sub(at).Seconds())
+		at = a.Start
+		if level < 1 {
+			continue
+		}
+		level--
+		admitted++
+		if limited(a) {
+			wrongful++
+		}
+	}
+	return wrongful, admitted
+}
+
 // spareRefusals returns how many of a customer's requests were refused by rate
 // although each of them could have run besides everything that was admitted,
-// within rate and burst. The central bucket of internal/demo replays first
-// attempts in their order; with a customer above its rate it also counts requests
-// whose token another request of the customer got. This count does not.
+// within rate and burst. A replay of first attempts in their order would also
+// count requests of a customer above its rate whose tokens its other requests got.
 func (o *observation) spareRefusals(c *Customer) int {
 	var taken, refused []time.Duration
 	for i := range o.records {
