--- a/internal/demo/operators_test.go
+++ b/internal/demo/operators_test.go
@@ -137,7 +137,7 @@
 	var made struct{ Key, KeyID string }
 	d.json(0, &made, "key", "new", "skole-as", "--apply")
 	for _, h := range d.f.Hosts {
-		// A host that has just joined holds no part of the rate for about a second.
+		// A host that has just joined refuses customers for up to 2.5 s.
 		require.NoError(d.t, Eventually(d.ctx, readyTimeout, "the key works on "+string(h.ID), func() error {
 			if status, _ := d.get(h, "/sertifikat/1", made.Key); status != http.StatusOK {
 				return &StatusError{Method: http.MethodGet, URL: h.Callers.String(), Status: status}
