--- a/limits/machine.go
+++ b/limits/machine.go
@@ -344,6 +344,7 @@
 }
 
 func (m *Machine) publishAll(now machine.Instant) {
+	m.shares.SetWeight(m.weight)
 	for _, a := range m.accounts {
 		m.settle(a, now)
 		m.publishOwn(a)
@@ -360,6 +361,7 @@
 // loans ended before its share was given to others.
 func (m *Machine) restart() {
 	m.weight, m.growths, m.leaseUntil = 0, nil, 0
+	m.shares.SetWeight(0)
 	m.shares.Reset()
 	m.sent = map[uint64]sentRequest{}
 	for _, a := range m.accounts {
--- a/limits/shares.go
+++ b/limits/shares.go
@@ -14,6 +14,8 @@
 type Shares interface {
 	// SetLease publishes the end of the lease.
 	SetLease(until machine.Instant)
+	// SetWeight publishes the base share in force, in units.
+	SetWeight(weight int64)
 	// Reset forgets stored tokens, loans and the lease, for a new incarnation.
 	Reset()
 	// SetLimit publishes the rate and burst of a customer. A customer that is new
--- a/limits/table.go
+++ b/limits/table.go
@@ -49,6 +49,7 @@
 	// publish serializes changes of the set of customers.
 	publish    sync.Mutex
 	leaseUntil atomic.Int64
+	weight     atomic.Int64
 	// leaseEpoch counts the times that the lease had ended before it was renewed
 	// or belonged to another incarnation.
 	leaseEpoch atomic.Uint64
@@ -274,7 +275,9 @@
 
 // Valid reports whether the lease has not ended since the admission and the
 // loan that held the token, if any, was renewed or has not yet ended. A loan
-// that was returned early stays good for its admissions until its end.
+// that was returned early stays good for its admissions until its end. If the
+// loan has ended, another stored token takes the place of the lost one: a claim
+// may take longer than the loan, and the request is still within the limit.
 func (a *admission) Valid() bool {
 	t, b := a.table, a.bucket
 	b.mu.Lock()
@@ -283,7 +286,22 @@
 	if !valid || b.removed || t.leaseEpoch.Load() != a.leaseEpoch {
 		return false
 	}
-	return now < a.loanUntil || b.find(a.loan) >= 0
+	if now < a.loanUntil || b.find(a.loan) >= 0 {
+		return true
+	}
+	return t.spendAgain(a, b)
+}
+
+// spendAgain replaces the token of an admission whose loan has ended. The
+// caller holds the lock of the bucket.
+func (t *Table) spendAgain(a *admission, b *bucket) bool {
+	again := t.take(b)
+	if again == nil {
+		return false
+	}
+	b.usage.Admitted--
+	a.loan, a.loanUntil, a.period = again.loan, again.loanUntil, again.period
+	return true
 }
 
 // Refund gives the token back unless the bucket would have overflowed with it.
@@ -353,17 +371,13 @@
 	return problem.NotRun(problem.KindLeaseExpired, "the host holds no lease").WithRetryAfter(time.Second)
 }
 
-// HasShare reports whether the host holds a part of some customer's limit, or
-// there is no customer. A host that started has none for a while.
+// SetWeight publishes the base share in force, in units.
+func (t *Table) SetWeight(weight int64) {
+	t.weight.Store(weight)
+}
+
+// HasShare reports whether the host holds a base share. A host that started has
+// none for a while.
 func (t *Table) HasShare() bool {
-	buckets := *t.buckets.Load()
-	for _, b := range buckets {
-		b.mu.Lock()
-		holds := b.own > 0
-		b.mu.Unlock()
-		if holds {
-			return true
-		}
-	}
-	return len(buckets) == 0
+	return t.weight.Load() > 0
 }
