Test the token that replaces one of an ended loan

Cause: the replacement was covered by the matrix only by chance. Change: TestValidTakesAnotherToken. Result: it passes, and fails without spendAgain (the admission stays invalid).

--- a/limits/table_test.go
+++ b/limits/table_test.go
@@ -202,3 +202,20 @@
 		}
 	})
 }
+
+// Guards against the refusal of a request that is within the limit because the
+// loan behind its token ended during a slow claim, and against a run without a
+// token: the replacement is taken from the bucket.
+func TestValidTakesAnotherToken(t *testing.T) {
+	clock := &manualClock{}
+	table := fullTable(clock, 2, ignore)
+	table.Withdraw("c", fleet.TotalWeight, Split{}, 2)
+	table.AddLoan("c", LoanKey{ID: 1}, fleet.TotalWeight, 1, clock.at.Add(time.Second))
+	admission := table.Begin("c").result
+	clock.at = clock.at.Add(time.Second)
+	require.False(t, admission.Valid(), "the bucket holds no other token")
+	table.AddLoan("c", LoanKey{ID: 2}, fleet.TotalWeight, 1, clock.at.Add(time.Second))
+	require.True(t, admission.Valid())
+	require.True(t, admission.Valid(), "one token is enough for repeated checks")
+	require.Nil(t, table.Begin("c").result, "the replacement was taken from the bucket")
+}
