Let alert rules name every measure, and record a revision in force once

Cause: two measures of package alert could not be used in rules, and each revision in force was recorded under two kinds. Change: hosts-without-lease and store-outage-seconds are metrics of rules; host leaves the event to configuration. Result: go test ./alert and the alert, note and sample tests of ./configuration pass.

--- a/configuration/alert.go
+++ b/configuration/alert.go
@@ -13,8 +13,9 @@
 
 // AlertMetrics are the names that an alert rule can compare.
 var AlertMetrics = []string{
-	"admitted", "drain-seconds", "errors", "headroom", "in-flight", "latency-p50", "latency-p99", "latency-p999",
-	"lease-seconds", "quarantined", "refused", "requests", "shifted", "worst-customer-p99", "wrongful-refusals",
+	"admitted", "drain-seconds", "errors", "headroom", "hosts-without-lease", "in-flight", "latency-p50", "latency-p99", "latency-p999",
+	"lease-seconds", "quarantined", "refused", "requests", "shifted", "store-outage-seconds",
+	"worst-customer-p99", "wrongful-refusals",
 }
 
 // AlertRule is the meaning of one line:
--- a/host/modules.go
+++ b/host/modules.go
@@ -177,7 +177,6 @@
 	h.loop.forward(h.modules.alert, alertRules(p.Snapshot))
 	h.loop.forward(h.modules.membership, membership.SetRevision{Revision: p.Snapshot.Revision})
 	h.log.Info().Uint64("revision", uint64(p.Snapshot.Revision)).Msg("configuration is in force")
-	h.record(now, machine.Event{Kind: "configuration.in-force", Subject: revisionText(p.Snapshot.Revision), Text: "revision is in force on this host"})
 }
 
 func customerLimits(s *configuration.Snapshot) limits.SetCustomers {
--- a/host/outside.go
+++ b/host/outside.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net/netip"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -278,7 +277,3 @@
 	}
 	return health, json.Unmarshal(response.Body(), &health)
 }
-
-func revisionText(r fleet.Revision) string {
-	return strconv.FormatUint(uint64(r), 10)
-}
