--- a/cmd/catkinspring/key.go
+++ b/cmd/catkinspring/key.go
@@ -123,15 +123,5 @@
 	if err != nil {
 		return err
 	}
-	applied, err := con.apply(hosts, text, c.waitFlags, c.JSON)
-	if err != nil && applied.Revision == 0 {
-		return con.problems(err, c.JSON)
-	}
-	if !c.JSON {
-		return err
-	}
-	if writeErr := con.json(appliedOutput{Applied: applied, InForce: err == nil && !c.NoWait, Behind: behind(err)}); writeErr != nil {
-		return writeErr
-	}
-	return err
+	return con.applyAndReport(hosts, text, c.waitFlags, c.JSON)
 }
--- a/cmd/catkinspring/note.go
+++ b/cmd/catkinspring/note.go
@@ -149,14 +149,20 @@
 	if err != nil {
 		return err
 	}
-	applied, err := con.apply(hosts, text, c.waitFlags, c.JSON)
+	return con.applyAndReport(hosts, text, c.waitFlags, c.JSON)
+}
+
+// applyAndReport applies a note and prints the result. An error after the note
+// was accepted says which hosts do not run it yet.
+func (c *console) applyAndReport(hosts *client.Client, text []byte, wait waitFlags, asJSON bool) error {
+	applied, err := c.apply(hosts, text, wait, asJSON)
 	if err != nil && applied.Revision == 0 {
-		return con.problems(err, c.JSON)
+		return c.problems(err, asJSON)
 	}
-	if !c.JSON {
+	if !asJSON {
 		return err
 	}
-	if writeErr := con.json(appliedOutput{Applied: applied, InForce: err == nil && !c.NoWait, Behind: behind(err)}); writeErr != nil {
+	if writeErr := c.json(appliedOutput{Applied: applied, InForce: err == nil && !wait.NoWait, Behind: behind(err)}); writeErr != nil {
 		return writeErr
 	}
 	return err
