--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -17,8 +17,8 @@
 	noteTimeout = 10 * time.Second
 	// majorityTimeout bounds the wait for acknowledgements of an announcement.
 	majorityTimeout = 2 * time.Second
-	// beatInterval is the time between two announcements of the same attempt.
-	beatInterval = 200 * time.Millisecond
+	// announceInterval is the time between two announcements of the same attempt.
+	announceInterval = 200 * time.Millisecond
 	// retryInterval is the time between two tries of a store call.
 	retryInterval = 200 * time.Millisecond
 	// freshAnswer is the age up to which the answer to an update is taken as it
@@ -60,16 +60,16 @@
 	first *Snapshot
 
 	// The attempt under way; its Sequence is 0 if there is none.
-	attempt   Attempt
-	base      headRead
-	head      *Head
-	raw       []byte
-	snapshot  *Snapshot
-	shards    shards
-	writer    *shardWriter
-	acks      map[fleet.Member]bool
-	announced machine.Instant
-	nextBeat  machine.Instant
+	attempt      Attempt
+	base         headRead
+	head         *Head
+	raw          []byte
+	snapshot     *Snapshot
+	shards       shards
+	writer       *shardWriter
+	acks         map[fleet.Member]bool
+	announced    machine.Instant
+	nextAnnounce machine.Instant
 
 	// unknown is true while the answer to an update of this attempt is lost.
 	unknown bool
@@ -114,7 +114,7 @@
 		m.refuse(&StoreError{Reason: "no decision within " + noteTimeout.String()})
 		return
 	}
-	m.beat()
+	m.repeatAnnouncement()
 	switch j.step {
 	case stepRead:
 		if m.now.Instant >= j.nextRead {
@@ -298,7 +298,7 @@
 		BaseRevision: read.head.Revision, BaseVersion: read.version,
 	})
 	j.acks = map[fleet.Member]bool{m.self: true}
-	j.announced, j.nextBeat = m.now.Instant, m.now.Instant
+	j.announced, j.nextAnnounce = m.now.Instant, m.now.Instant
 	j.step = stepAnnounce
 	if old.Sequence > 0 {
 		r := Resolved{Attempt: old, Revision: m.Revision()}
@@ -337,19 +337,20 @@
 	j.writer = m.newShardWriter(missing, parts)
 }
 
-// beat repeats the announcement: to members that have not acknowledged it, and
-// with a higher beat to the others, as a sign that the attempt is worked on.
-func (m *Machine) beat() {
+// repeatAnnouncement repeats the announcement: to members that have not
+// acknowledged it, and with a higher round to the others, as a sign that the
+// attempt is worked on.
+func (m *Machine) repeatAnnouncement() {
 	j := m.job
-	if j.attempt.Sequence == 0 || m.now.Instant < j.nextBeat {
+	if j.attempt.Sequence == 0 || m.now.Instant < j.nextAnnounce {
 		return
 	}
-	j.nextBeat = m.now.Instant.Add(beatInterval)
+	j.nextAnnounce = m.now.Instant.Add(announceInterval)
 	p := m.findPending(j.attempt)
 	if p == nil {
 		return
 	}
-	p.announce.Beat++
+	p.announce.Round++
 	p.fresh = m.now.Instant
 	m.broadcast(p.announce)
 }
--- a/configuration/machine.go
+++ b/configuration/machine.go
@@ -63,7 +63,7 @@
 	// highest is the highest revision in peers.
 	highest    fleet.Revision
 	nextForget machine.Instant
-	chase      chase
+	search     headSearch
 	pull       *pull
 
 	pendings []*pending
--- a/configuration/messages.go
+++ b/configuration/messages.go
@@ -35,8 +35,8 @@
 	// BaseRevision and BaseVersion are the head on which the update depends.
 	BaseRevision fleet.Revision `cbor:"4,keyasint"`
 	BaseVersion  uint64         `cbor:"5,keyasint"`
-	// Beat increases while the origin works on the attempt.
-	Beat uint64 `cbor:"6,keyasint"`
+	// Round increases while the origin works on the attempt.
+	Round uint64 `cbor:"6,keyasint"`
 }
 
 // MessageNumber returns the number of the message type.
--- a/configuration/pending.go
+++ b/configuration/pending.go
@@ -18,7 +18,7 @@
 	// members that may not have it. Most attempts end before.
 	forwardAfter = 300 * time.Millisecond
 	// resolveAfter is the time without a sign of work by the origin after which
-	// other hosts resolve an attempt. The origin gives a sign every beatInterval.
+	// other hosts resolve an attempt. The origin gives a sign every announceInterval.
 	resolveAfter = time.Second
 	// resolveStagger is added per rank, so that one host resolves at a time.
 	resolveStagger = 100 * time.Millisecond
@@ -84,8 +84,8 @@
 		return
 	}
 	p.knows[from] = true
-	if a.Beat > p.announce.Beat {
-		p.announce.Beat = a.Beat
+	if a.Round > p.announce.Round {
+		p.announce.Round = a.Round
 		p.fresh = m.now.Instant
 	}
 	ack := AnnounceAck{Attempt: a.Attempt, Revision: m.Revision()}
--- a/configuration/pull.go
+++ b/configuration/pull.go
@@ -39,8 +39,8 @@
 	at       machine.Instant
 }
 
-// chase is the search for the head of a revision that peers have.
-type chase struct {
+// headSearch is the search for the head of a revision that peers have.
+type headSearch struct {
 	tries int
 	next  machine.Instant
 }
@@ -80,7 +80,7 @@
 		return
 	}
 	if revision > m.wanted() {
-		m.chase = chase{}
+		m.search = headSearch{}
 	}
 	// A lower revision neither replaces nor refreshes a higher one: it may be
 	// late, or the host may have been replaced, and then the entry expires.
@@ -113,9 +113,9 @@
 func (m *Machine) askForHead() {
 	others := m.others()
 	for i := range min(askedAtStart, len(others)) {
-		m.send(others[(m.chase.tries*askedAtStart+i)%len(others)].Host, HeadRequest{})
+		m.send(others[(m.search.tries*askedAtStart+i)%len(others)].Host, HeadRequest{})
 	}
-	m.chase.tries++
+	m.search.tries++
 }
 
 // advancePull does what can be done now to catch up. It runs in every step.
@@ -127,16 +127,16 @@
 	if m.pull != nil && !m.pull.stalled(m.now.Instant) {
 		reached = max(reached, m.pullRevision())
 	}
-	if m.wanted() <= reached || m.now.Instant < m.chase.next {
+	if m.wanted() <= reached || m.now.Instant < m.search.next {
 		return
 	}
-	m.chase.next = m.now.Instant.Add(headTimeout)
+	m.search.next = m.now.Instant.Add(headTimeout)
 	hosts := m.hostsWith(reached + 1)
-	m.send(hosts[m.chase.tries%len(hosts)], HeadRequest{})
-	if m.chase.tries%storeEvery == storeEvery-1 {
+	m.send(hosts[m.search.tries%len(hosts)], HeadRequest{})
+	if m.search.tries%storeEvery == storeEvery-1 {
 		m.readForChange()
 	}
-	m.chase.tries++
+	m.search.tries++
 }
 
 func (m *Machine) pullRevision() fleet.Revision {
--- a/configuration/rig_test.go
+++ b/configuration/rig_test.go
@@ -16,8 +16,8 @@
 const (
 	testKey    = "00112233445566aa"
 	testDigest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
-	// heartbeatInterval is T/8 for the default lease of 10 s.
-	heartbeatInterval = 1250 * time.Millisecond
+	// heartannounceInterval is T/8 for the default lease of 10 s.
+	heartannounceInterval = 1250 * time.Millisecond
 )
 
 // heartbeat stands for the heartbeat of membership, which carries the revision.
@@ -28,15 +28,15 @@
 // host is a configuration machine with stand-ins of what the host wires to it:
 // heartbeats, and the watch of the head by one host per region.
 type host struct {
-	machine   machine.Machine
-	revision  func() fleet.Revision
-	cell      *cell
-	id        fleet.HostID
-	watches   bool
-	seen      uint64
-	nextBeat  machine.Instant
-	published Published
-	highest   fleet.Revision
+	machine      machine.Machine
+	revision     func() fleet.Revision
+	cell         *cell
+	id           fleet.HostID
+	watches      bool
+	seen         uint64
+	nextAnnounce machine.Instant
+	published    Published
+	highest      fleet.Revision
 	// reached holds when each revision, or a higher one, came into force.
 	reached map[fleet.Revision]machine.Instant
 }
@@ -133,10 +133,10 @@
 }
 
 func (h *host) beat(now machine.Now) []machine.Output {
-	if now.Instant < h.nextBeat {
+	if now.Instant < h.nextAnnounce {
 		return nil
 	}
-	h.nextBeat = now.Instant.Add(heartbeatInterval)
+	h.nextAnnounce = now.Instant.Add(heartannounceInterval)
 	var out []machine.Output
 	for _, id := range h.cell.ids {
 		if id != h.id {
--- /dev/null
+++ b/host/loop_test.go
@@ -0,0 +1,84 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// published is an output that the loop hands to the module's own handler.
+type published struct{}
+
+func (published) MachineOutput() {}
+
+// scripted is a machine that returns fixed outputs and records its inputs.
+type scripted struct {
+	outputs []machine.Output
+	inputs  *[]string
+	name    string
+}
+
+func (s scripted) Step(_ machine.Now, _ machine.Input) []machine.Output {
+	*s.inputs = append(*s.inputs, s.name)
+	return s.outputs
+}
+
+func newTestLoop(steps *[]string) *loop {
+	return newLoop(NewClock(), effects{
+		send:   func(to fleet.HostID, _ machine.Message) { *steps = append(*steps, "send "+string(to)) },
+		call:   func(machine.StoreCall, func(machine.StoreResult)) {},
+		record: func(machine.Now, machine.Event) {},
+	}, metrics.NewRegistry())
+}
+
+// Guards against a message that confirms a view to peers before the other
+// modules have applied it: two hosts could then hold the same share.
+func TestViewIsAppliedBeforeLaterOutputs(t *testing.T) {
+	var steps []string
+	l := newTestLoop(&steps)
+	first := l.add(module{name: "first", machine: scripted{outputs: []machine.Output{published{}, machine.Send{To: "peer"}}, inputs: &steps, name: "first"}}, nil)
+	l.add(module{name: "second", machine: scripted{inputs: &steps, name: "second"}}, nil)
+	l.modules[first].output = func(machine.Now, machine.Output) { l.stepOthers(first, machine.ViewChanged{}) }
+	l.process(item{module: first, input: machine.Tick{}})
+	require.Equal(t, []string{"first", "second", "send peer"}, steps)
+}
+
+// Guards against a caller that waits for a control loop that can't take more,
+// and against inputs that are lost without a count.
+func TestFullInboxDropsAndCounts(t *testing.T) {
+	var steps []string
+	l := newTestLoop(&steps)
+	id := l.add(module{name: "m", machine: scripted{inputs: &steps, name: "m"}}, nil)
+	for range inboxSize {
+		require.True(t, l.post(id, machine.Tick{}))
+	}
+	require.False(t, l.post(id, machine.Tick{}))
+	require.EqualValues(t, 1, l.dropped.Count())
+}
+
+// Guards against a worker of the store that waits for ever for a loop that has
+// stopped.
+func TestResultAfterStopIsDropped(t *testing.T) {
+	var steps []string
+	l := newTestLoop(&steps)
+	id := l.add(module{name: "m", machine: scripted{inputs: &steps, name: "m"}}, nil)
+	for range inboxSize {
+		l.post(id, machine.Tick{})
+	}
+	close(l.stopped)
+	done := make(chan struct{})
+	go func() {
+		l.deliverResult(id, machine.StoreResult{})
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the worker still waits")
+	}
+}
