--- a/host/modules.go
+++ b/host/modules.go
@@ -150,6 +150,7 @@
 func (h *Host) changeLease(now machine.Now, until machine.Instant) {
 	before := machine.Instant(h.state.lease.Swap(int64(until)))
 	if before < now.Instant && until > now.Instant {
+		h.state.leaseSince.Store(int64(now.Instant))
 		h.log.Info().Msg("lease is valid")
 		h.record(now, machine.Event{Kind: "lease.valid", Text: "lease is valid"})
 	}
--- a/host/state.go
+++ b/host/state.go
@@ -13,11 +13,13 @@
 
 // state holds what the control loop publishes to traffic goroutines.
 type state struct {
-	lease     atomic.Int64
-	view      atomic.Pointer[fleet.View]
-	snapshot  atomic.Pointer[configuration.Snapshot]
-	suspended atomic.Pointer[configuration.KeySet]
-	contacts  atomic.Pointer[map[fleet.HostID]netip.AddrPort]
+	lease atomic.Int64
+	// leaseSince is the instant from which the lease has been valid without a gap.
+	leaseSince atomic.Int64
+	view       atomic.Pointer[fleet.View]
+	snapshot   atomic.Pointer[configuration.Snapshot]
+	suspended  atomic.Pointer[configuration.KeySet]
+	contacts   atomic.Pointer[map[fleet.HostID]netip.AddrPort]
 	// head is the last head of the configuration that was read or written, as the
 	// store holds it.
 	head atomic.Pointer[[]byte]
--- a/host/status.go
+++ b/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/machine"
@@ -19,7 +20,13 @@
 
 func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
 
+// shareTime is how long a host with a lease waits for its share of the limits.
+// A share takes 2.24 s to come into force; a host that replaces a dead one has
+// none until that one is retired, and lives on loans of its peers.
+const shareTime = 3 * time.Second
+
 func (h *Host) ready() error {
+	now := h.clock.Now().Instant
 	switch {
 	case h.state.draining.Load():
 		return &NotReadyError{Reason: "host is stopping"}
@@ -27,11 +34,11 @@
 		return &NotReadyError{Reason: "no roster yet, and the object store is not reachable"}
 	case h.state.view.Load() == nil:
 		return &NotReadyError{Reason: "no roster yet"}
-	case h.clock.Now().Instant >= h.state.ValidUntil():
+	case now >= h.state.ValidUntil():
 		return &NotReadyError{Reason: "no valid lease"}
 	case h.state.snapshot.Load() == nil:
 		return &NotReadyError{Reason: "no configuration yet"}
-	case !h.limits.HasShare():
+	case !h.limits.HasShare() && now.Sub(machine.Instant(h.state.leaseSince.Load())) < shareTime:
 		return &NotReadyError{Reason: "no share of the customers' limits yet"}
 	}
 	return nil
