Let the transport tests close while unread messages wait

The stack showed Receive in the channel send. Change: Receive of the tests gives up when the test has ended. No check was changed. Result: go test -race -count=10 ./peer passes, and TestSlowPeer 120 times on 1 and 4 processors.

--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -70,6 +70,7 @@
 
 func start(t *testing.T, files Files, self fleet.Member, version uint16) *endpoint {
 	t.Helper()
+	ended := make(chan struct{})
 	e := &endpoint{in: make(chan received, 1000), failures: make(chan error, 100), registry: metrics.NewRegistry()}
 	transport, err := listen(Config{
 		Self:    self,
@@ -78,7 +79,12 @@
 		Files:   files,
 		Types:   noteTypes,
 		Metrics: e.registry,
-		Receive: func(from fleet.Member, m machine.Message) { e.in <- received{from, m.(note)} },
+		Receive: func(from fleet.Member, m machine.Message) {
+			select {
+			case e.in <- received{from, m.(note)}:
+			case <-ended:
+			}
+		},
 		Failed: func(_ fleet.HostID, err error) {
 			select {
 			case e.failures <- err:
@@ -87,7 +93,11 @@
 		},
 	}, version)
 	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, transport.Close()) })
+	t.Cleanup(func() {
+		// Messages that no test reads must not keep Close waiting for Receive.
+		close(ended)
+		require.NoError(t, transport.Close())
+	})
 	e.Transport = transport
 	return e
 }
