Order the timeline over all hosts

Cause: nothing called Clock.Observe, so the order of events of different hosts rested on their wall clocks.

--- a/host/host.go
+++ b/host/host.go
@@ -58,6 +58,8 @@
 	state    state
 	registry metrics.Registry
 	ring     *timeline.Ring
+	// hlc orders events over all processes.
+	hlc *timeline.Clock
 	// requests holds the events of requests, on the clock of ring.
 	requests *timeline.Ring
 	measures *measure.Collector
@@ -134,13 +136,13 @@
 		location: fleet.Location{Region: s.Host.Region, FailureDomain: s.Host.FailureDomain},
 		clock:    NewClock(),
 		registry: metrics.NewRegistry(),
+		hlc:      &timeline.Clock{},
 		retired:  make(chan struct{}),
 		left:     make(chan struct{}),
 	}
 	h.log = o.Logger.With().Str("host", string(s.Host.ID)).Str("incarnation", h.self.Incarnation.String()[:8]).Logger()
-	clock := &timeline.Clock{}
-	h.ring = timeline.NewRing(s.Host.ID, clock, s.Timeline.Entries, keys.Redact)
-	h.requests = timeline.NewRing(s.Host.ID, clock, requestlog.Entries, keys.Redact)
+	h.ring = timeline.NewRing(s.Host.ID, h.hlc, s.Timeline.Entries, keys.Redact)
+	h.requests = timeline.NewRing(s.Host.ID, h.hlc, requestlog.Entries, keys.Redact)
 	h.measures = measure.NewCollector(h.location.Region, time.Now)
 	h.notes.init()
 	h.regions.init()
--- a/host/outside.go
+++ b/host/outside.go
@@ -77,13 +77,14 @@
 
 func (h *Host) openTransport() error {
 	transport, err := peer.Listen(peer.Config{
-		Self:    h.self,
-		Cell:    h.settings.Host.Cell,
-		Listen:  h.settings.Listen.Peers,
-		Files:   peer.Files{CA: h.settings.FleetTLS.CA, Certificate: h.settings.FleetTLS.Certificate, Key: h.settings.FleetTLS.Key},
-		Types:   messageTypes(),
-		Receive: h.loop.receive,
-		Metrics: h.registry,
+		Self:     h.self,
+		Cell:     h.settings.Host.Cell,
+		Listen:   h.settings.Listen.Peers,
+		Files:    peer.Files{CA: h.settings.FleetTLS.CA, Certificate: h.settings.FleetTLS.Certificate, Key: h.settings.FleetTLS.Key},
+		Types:    messageTypes(),
+		Receive:  h.loop.receive,
+		Timeline: h.hlc,
+		Metrics:  h.registry,
 	})
 	var listen *peer.ListenError
 	if errors.As(err, &listen) {
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -132,7 +132,7 @@
 		}
 		group.Go(func() {
 			_ = stream.SetReadDeadline(time.Now().Add(transferTimeout))
-			wire, err := io.ReadAll(io.LimitReader(stream, MaxMessageSize+1))
+			wire, err := io.ReadAll(io.LimitReader(stream, MaxMessageSize+stampSize+1))
 			if err != nil {
 				return
 			}
@@ -145,7 +145,12 @@
 func (t *Transport) deliver(c *connection, wire []byte, header int) {
 	t.counters.messagesIn.Inc(1)
 	t.counters.bytesIn.Inc(int64(header + len(wire)))
-	message, err := t.codec.Decode(wire)
+	content, ok := t.observe(wire)
+	if !ok {
+		t.counters.dropsMalformed.Inc(1)
+		return
+	}
+	message, err := t.codec.Decode(content)
 	if err != nil {
 		t.counters.dropsMalformed.Inc(1)
 		return
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -13,6 +13,7 @@
 
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/timeline"
 )
 
 // Timing of connections.
@@ -50,6 +51,8 @@
 	// Failed is called, if set, when a connection could not be made, with one of
 	// the errors of this package or of quic-go. host is empty if it is not known.
 	Failed func(host fleet.HostID, err error)
+	// Timeline orders the events of both ends of a message; it may be nil.
+	Timeline *timeline.Clock
 	// Metrics receives the counters; nil for a registry of its own.
 	Metrics metrics.Registry
 }
@@ -186,7 +189,7 @@
 		t.counters.dropsUnknown.Inc(1)
 		return &UnknownHostError{Host: to}
 	}
-	r.enqueue(wire)
+	r.enqueue(t.stamp(wire))
 	return nil
 }
 
