--- a/internal/demo/cost.go
+++ b/internal/demo/cost.go
@@ -67,14 +67,14 @@
 		return Cost{}, err
 	}
 	defer f.Close()
-	if !sleep(ctx, costSettle) {
+	if !Sleep(ctx, costSettle) {
 		return Cost{}, ctx.Err()
 	}
 	before, err := f.usage(ctx)
 	if err != nil {
 		return Cost{}, err
 	}
-	if !sleep(ctx, duration) {
+	if !Sleep(ctx, duration) {
 		return Cost{}, ctx.Err()
 	}
 	after, err := f.usage(ctx)
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -77,7 +77,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if !sleep(ctx, time.Until(start.Add(after))) {
+			if !Sleep(ctx, time.Until(start.Add(after))) {
 				return
 			}
 			if err := event(ctx); err != nil && ctx.Err() == nil {
@@ -99,7 +99,7 @@
 	return first
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+func Sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -130,7 +130,7 @@
 	}
 	d.facts.drained = time.Now()
 	d.say("upstream %s drains", d.plan.drained)
-	if !sleep(ctx, propagation) {
+	if !Sleep(ctx, propagation) {
 		return nil
 	}
 	// Only one upstream of the process drains, so the total is that of this one.
@@ -191,7 +191,7 @@
 	}
 	d.facts.outageBegin = time.Now()
 	d.say("the platform does not answer for %v", d.plan.outageLength)
-	sleep(ctx, d.plan.outageLength)
+	Sleep(ctx, d.plan.outageLength)
 	// The end of the outage must also be reached when the demo is interrupted,
 	// so that a fleet that is left up works.
 	err := call(context.WithoutCancel(ctx), http.MethodPost, url, "", object{"outage": "none"}, nil)
--- a/internal/demo/watch.go
+++ b/internal/demo/watch.go
@@ -26,7 +26,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for sleep(ctx, watchInterval) {
+			for Sleep(ctx, watchInterval) {
 				if s, err := f.Status(ctx, h); err == nil {
 					w.saw(fleet.Member{Host: s.Host, Incarnation: s.Incarnation}, s.Revision)
 				}
--- a/internal/measure/drive.go
+++ b/internal/measure/drive.go
@@ -61,7 +61,7 @@
 	if err := f.DirectNetwork(ctx, s.network(), s.platformDelays()); err != nil {
 		return nil, err
 	}
-	if !wait(ctx, s.fillTime()) {
+	if !demo.Sleep(ctx, s.fillTime()) {
 		return nil, eris.Wrap(ctx.Err(), "wait for full buckets")
 	}
 	if err := f.PlatformCall(ctx, http.MethodDelete, "/admin/calls", nil, nil); err != nil {
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -111,7 +111,7 @@
 			group.Add(1)
 			go func() {
 				defer group.Done()
-				if !wait(ctx, time.Until(at)) {
+				if !demo.Sleep(ctx, time.Until(at)) {
 					return
 				}
 				d.say("%s %s%s%s", fault.Kind, fault.Upstream, fault.Host, fault.Region)
@@ -129,17 +129,6 @@
 	return first
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // HostError reports a fault that names no host of the fleet.
 type HostError struct {
 	Host fleet.HostID
@@ -200,7 +189,7 @@
 		return err
 	}
 	last, refused := begin, 0
-	for wait(ctx, drainPoll) {
+	for demo.Sleep(ctx, drainPoll) {
 		now := time.Now()
 		n, running, err := d.Drained(ctx, f.Upstream)
 		if err != nil {
