--- a/host/outside.go
+++ b/host/outside.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/configuration"
@@ -153,11 +154,11 @@
 	if h.state.storeOK.Swap(ok) == ok && !first {
 		return
 	}
-	kind, text := "store.reachable", "object store is reachable"
+	level, kind, text := zerolog.InfoLevel, "store.reachable", "object store is reachable"
 	if !ok {
-		kind, text = "store.unreachable", "object store is not reachable"
+		level, kind, text = zerolog.WarnLevel, "store.unreachable", "object store is not reachable"
 	}
-	h.log.Warn().Msg(text)
+	h.log.WithLevel(level).Msg(text)
 	h.record(h.clock.Now(), machine.Event{Kind: kind, Text: text})
 }
 
