--- /dev/null
+++ b/catalog/follow.go
@@ -0,0 +1,184 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// watchWait is how long a watch waits at the store. Long waits save calls; a
+	// connection that went silent is found by keep-alive probes.
+	watchWait = 25 * time.Second
+	// coalesce is the pause after a change before the next watch, so that a burst
+	// of changes costs one call. It is a tenth of the tightest time bound on a
+	// change (2.5 s).
+	coalesce = 250 * time.Millisecond
+	// minRetry and maxRetry bound the pause after a failed call. maxRetry is below
+	// the time within which a host must be up to date after an outage (2.5 s).
+	minRetry = 200 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// Change is a new state of one object, or its removal.
+type Change[T any] struct {
+	Name string
+	// Item is valid unless Removed is true.
+	Item T
+	// Removed objects are gone, or their content names nothing that can be used.
+	Removed bool
+}
+
+// State is the content of a kind, or what changed in it, up to a store revision.
+type State[T any] struct {
+	Changes  []Change[T]
+	Revision uint64
+}
+
+// Source reads one kind of object. Its methods return *CompactedError if the
+// store no longer holds the changes, and otherwise an error after which a repeat
+// is harmless.
+type Source[T any] interface {
+	// List returns all objects.
+	List(ctx context.Context) (State[T], error)
+	// Watch returns the changes after a revision as soon as there is one, or none
+	// once wait has passed.
+	Watch(ctx context.Context, since uint64, wait time.Duration) (State[T], error)
+}
+
+// CompactedError reports a watch from a revision that the store no longer holds.
+type CompactedError struct{}
+
+func (*CompactedError) Error() string { return "the store no longer holds these changes" }
+
+// Update is what Follow tells its user. It is called from one goroutine.
+type Update[T any] struct {
+	// Complete is true if Changes are all objects that exist.
+	Complete bool
+	Changes  []Change[T]
+	Revision uint64
+	// AfterOutage is true for the first list after failed calls.
+	AfterOutage bool
+}
+
+// Observer is told of updates and failures.
+type Observer[T any] struct {
+	Apply func(Update[T])
+	// Lost and Regained report the reachability of the store; each is called once
+	// a change.
+	Lost     func(error)
+	Regained func()
+}
+
+// Follow keeps its observer up to date until the context ends. relist, which may
+// be nil, asks for a list at once, for instance because a peer knows more.
+func Follow[T any](ctx context.Context, source Source[T], relist <-chan struct{}, o Observer[T]) {
+	f := follower[T]{source: source, observer: o, relist: relist}
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+}
+
+type follower[T any] struct {
+	source   Source[T]
+	observer Observer[T]
+	relist   <-chan struct{}
+
+	listed   bool
+	revision uint64
+	failures int
+}
+
+func (f *follower[T]) step(ctx context.Context) {
+	if !f.listed {
+		f.list(ctx)
+		return
+	}
+	f.watch(ctx)
+}
+
+func (f *follower[T]) list(ctx context.Context) {
+	state, err := f.source.List(ctx)
+	if err != nil {
+		f.failed(ctx, err)
+		return
+	}
+	outage := f.failures > 0
+	f.succeeded()
+	f.listed, f.revision = true, state.Revision
+	f.observer.Apply(Update[T]{Complete: true, Changes: state.Changes, Revision: state.Revision, AfterOutage: outage})
+}
+
+func (f *follower[T]) watch(ctx context.Context) {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := false
+	if f.relist != nil {
+		stop := make(chan struct{})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			select {
+			case <-f.relist:
+				asked = true
+				cancel()
+			case <-stop:
+			}
+		}()
+		defer func() {
+			close(stop)
+			<-done
+			if asked {
+				f.listed = false
+			}
+		}()
+	}
+	state, err := f.source.Watch(watching, f.revision, watchWait)
+	var compacted *CompactedError
+	switch {
+	case errors.As(err, &compacted):
+		f.listed = false
+	case err != nil && watching.Err() != nil:
+		// Asked to list, or the process ends.
+	case err != nil:
+		f.listed = false
+		f.failed(ctx, err)
+	default:
+		f.succeeded()
+		f.revision = max(f.revision, state.Revision)
+		if len(state.Changes) > 0 {
+			f.observer.Apply(Update[T]{Changes: state.Changes, Revision: state.Revision})
+			pause(ctx, coalesce)
+		}
+	}
+}
+
+func (f *follower[T]) succeeded() {
+	if f.failures > 0 {
+		f.observer.Regained()
+	}
+	f.failures = 0
+}
+
+func (f *follower[T]) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.failures++
+	if f.failures == 1 {
+		f.observer.Lost(err)
+	}
+	// Jitter keeps the hosts of a fleet from calling together after an outage.
+	wait := min(maxRetry, minRetry<<min(f.failures-1, 4))
+	pause(ctx, wait/2+rand.N(wait/2+1))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/cmd/catkinspring/main.go
+++ b/cmd/catkinspring/main.go
@@ -20,6 +20,7 @@
 
 type commandLine struct {
 	Serve    serveCommand    `cmd:"" help:"Run an entry host."`
+	Edge     edgeCommand     `cmd:"" help:"Run an entry host on the platform of the users."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Certs    certsCommand    `cmd:"" help:"Make certificates for the connections between hosts."`
 	Note     noteCommand     `cmd:"" help:"Work with release notes."`
@@ -75,7 +76,7 @@
 	parser.FatalIfErrorf(err)
 	ctx := context.Background()
 	// A running host has a meaning of its own for signals.
-	if !strings.HasPrefix(parsed.Command(), "serve") {
+	if !strings.HasPrefix(parsed.Command(), "serve") && !strings.HasPrefix(parsed.Command(), "edge") {
 		interrupted, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 		defer stop()
 		ctx = interrupted
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/catkinspring/catkinspring/upstream"
 	"io"
 	"net"
 	"os"
@@ -244,7 +245,7 @@
 	if err := e.restoreDeadline(c, nil); err != nil {
 		return err
 	}
-	if e.mayRetry && quiet(c.Conn) && e.d.budget.spend() {
+	if e.mayRetry && upstream.Quiet(c.Conn) && e.d.budget.spend() {
 		return &FirstByteTimeoutError{Silent: e.silent}
 	}
 	_, err = c.reader.Peek(1)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"github.com/catkinspring/catkinspring/upstream"
 	"net"
 	"net/netip"
 	"slices"
@@ -84,7 +85,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleAt) < IdleTimeout && c.reader.Buffered() == 0 && quiet(c.Conn) {
+		if time.Since(c.idleAt) < IdleTimeout && c.reader.Buffered() == 0 && upstream.Quiet(c.Conn) {
 			c.reused = true
 			return c
 		}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,204 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/ingress"
+	"github.com/catkinspring/catkinspring/internal/clock"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/policy"
+	"github.com/catkinspring/catkinspring/quota"
+	"github.com/catkinspring/catkinspring/steering"
+	"github.com/catkinspring/catkinspring/upstream"
+)
+
+const (
+	// maintenanceInterval is the time between two rounds of work that no event
+	// starts: plans, unused connections, entries that stayed missing.
+	maintenanceInterval = 250 * time.Millisecond
+	// reservedDescriptors are not used for callers' connections: connections to
+	// upstreams, the store and peers, and files.
+	reservedDescriptors = 1200
+)
+
+// Store is what an entry host needs of the platform's store.
+type Store interface {
+	Configurations() catalog.Source[policy.Configuration]
+	Upstreams(domains map[fleet.FailureDomain]fleet.Region) catalog.Source[catalog.Upstream]
+	Evacuations() catalog.Source[catalog.Evacuation]
+	Hosts() catalog.Source[catalog.Host]
+	// PutHost writes a host's own entry; a repeat is harmless.
+	PutHost(ctx context.Context, h catalog.Host) error
+}
+
+// Codec translates what callers and upstreams send.
+type Codec interface {
+	ingress.Codec
+	upstream.Codec
+}
+
+// Paths are the paths of the calls that are not callers' requests.
+type Paths struct {
+	Ready     string
+	Directory string
+}
+
+// Options holds what a process passes to New.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Codec    Codec
+	Paths    Paths
+	Logger   zerolog.Logger
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Purpose string
+	Address netip.AddrPort
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listening for %s on %s: %v", e.Purpose, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Edge is one running entry host.
+type Edge struct {
+	Options
+	log   zerolog.Logger
+	clock *clock.Clock
+
+	snapshot atomic.Pointer[policy.Snapshot]
+	// hosts are the registered entry hosts; nil before the first list.
+	hosts    atomic.Pointer[[]catalog.Host]
+	draining atomic.Bool
+	// splits holds the state of weighted routes by route name.
+	splits splitTable
+
+	steering *steering.Table
+	budget   *steering.Budget
+	quota    *quota.Table
+	upstream *upstream.Client
+	server   *ingress.Server
+
+	listeners struct {
+		callers, readiness, directory net.Listener
+	}
+}
+
+// New binds the listeners. It returns a *ListenError.
+func New(o Options) (*Edge, error) {
+	b := o.Settings.Bounds
+	e := &Edge{
+		Options: o,
+		log:     o.Logger,
+		clock:   clock.New(),
+		steering: steering.New(steering.Config{
+			Host: o.Settings.ID, Location: o.Settings.Location,
+			MaxRegionShift: b.MaxRegionShift, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+		}),
+		budget:   steering.NewBudget(steering.BudgetConfig{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow}),
+		quota:    quota.New(),
+		upstream: upstream.NewClient(o.Codec),
+	}
+	e.server = ingress.New(ingress.Config{
+		Handler:        e.handle,
+		Limits:         e.limits,
+		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
+	})
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Edge) listen() error {
+	l := e.Settings.Listen
+	for _, one := range []struct {
+		purpose string
+		address netip.AddrPort
+		into    *net.Listener
+	}{
+		{"callers", l.Callers, &e.listeners.callers},
+		{"readiness", l.Readiness, &e.listeners.readiness},
+		{"directory", l.Directory, &e.listeners.directory},
+	} {
+		listener, err := net.Listen("tcp", one.address.String())
+		if err != nil {
+			return &ListenError{Purpose: one.purpose, Address: one.address, Cause: err}
+		}
+		*one.into = listener
+	}
+	return nil
+}
+
+func (e *Edge) now() machine.Instant { return e.clock.Now().Instant }
+
+// limits returns the callers' limits of the configuration in force.
+func (e *Edge) limits() ingress.Limits {
+	s := e.snapshot.Load()
+	if s == nil {
+		return ingress.Limits{}
+	}
+	return ingress.Limits(s.Limits)
+}
+
+// Run serves until the planned stop that begins when stop is cancelled is over.
+func (e *Edge) Run(stop context.Context) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	e.follow(ctx, &group)
+	group.Go(func() { e.register(ctx) })
+	group.Go(func() { e.maintain(ctx) })
+	group.Go(func() { _ = e.server.Serve(e.listeners.callers) })
+	servers := []*http.Server{
+		{Handler: e.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
+		{Handler: e.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
+	}
+	for i, l := range []net.Listener{e.listeners.readiness, e.listeners.directory} {
+		group.Go(func() {
+			if err := servers[i].Serve(l); err != http.ErrServerClosed {
+				e.log.Error().Err(err).Msg("listener failed")
+			}
+		})
+	}
+	e.log.Info().Str("callers", e.Settings.Listen.Callers.String()).Str("region", string(e.Settings.Location.Region)).Msg("entry host started")
+	<-stop.Done()
+	e.drain()
+	cancel()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	group.Wait()
+	e.log.Info().Msg("entry host stopped")
+}
+
+func (e *Edge) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case at := <-ticker.C:
+			gone, changed := e.steering.Expire(e.now())
+			e.logUpstreams(gone, changed, 0)
+			e.upstream.Sweep(at)
+		}
+	}
+}
--- /dev/null
+++ b/edge/request.go
@@ -0,0 +1,255 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/ingress"
+	"github.com/catkinspring/catkinspring/policy"
+	"github.com/catkinspring/catkinspring/steering"
+	"github.com/catkinspring/catkinspring/upstream"
+)
+
+const (
+	// defaultTimeLeft bounds requests whose caller and route set no bound.
+	defaultTimeLeft = 10 * time.Second
+	// startRetryAfter is what callers are told by a host that has no configuration
+	// yet; it comes within a second of the start.
+	startRetryAfter = 500 * time.Millisecond
+	// fullRetryAfter is what callers are told when all upstreams have enough work:
+	// about the time in which an upstream finishes a request.
+	fullRetryAfter = 400 * time.Millisecond
+	// minTimeLeft is the time below which a request is not sent: a round trip
+	// between regions.
+	minTimeLeft = 100 * time.Millisecond
+)
+
+// depths are how much work an upstream may have, as a multiple of its slots, by
+// the priority of a request. Higher priorities may wait in longer queues.
+var depths = [...]float64{2.4, 2.0, 1.7}
+
+func depthOf(priority int) float64 { return depths[max(0, min(priority, len(depths)-1))] }
+
+// request is one request on its way through the host.
+type request struct {
+	e        *Edge
+	in       *ingress.Request
+	fields   ingress.Fields
+	snapshot *policy.Snapshot
+	route    *policy.Route
+	customer *policy.Customer
+	service  fleet.Pool
+	deadline time.Time
+
+	// tried are the upstreams that got the request.
+	tried []fleet.Upstream
+	// mayHaveRun is true once an attempt ended without it being known whether the
+	// request ran.
+	mayHaveRun bool
+	last       upstream.Result
+	choice     steering.Choice
+}
+
+// handle answers a request of a caller.
+func (e *Edge) handle(ctx context.Context, in *ingress.Request) *ingress.Response {
+	r := &request{e: e, in: in, fields: e.Codec.Caller(in.Request), snapshot: e.snapshot.Load()}
+	response, reason := r.serve(ctx)
+	r.log(response, reason)
+	return response
+}
+
+func (r *request) serve(ctx context.Context) (response *ingress.Response, reason string) {
+	if response, reason = r.admit(); response != nil {
+		return response, reason
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if !r.route.Idempotent {
+		// A request that may run only once is not broken off when its caller leaves.
+		// It is checked before each attempt instead.
+		running, stop := context.WithDeadline(context.Background(), r.deadline)
+		defer stop()
+		return r.attempts(ctx, running)
+	}
+	return r.attempts(ctx, ctx)
+}
+
+// admit checks a request against the configuration and the customer's limit.
+func (r *request) admit() (response *ingress.Response, reason string) {
+	if r.snapshot == nil {
+		return refuse(http.StatusServiceUnavailable, startRetryAfter), "no_configuration"
+	}
+	r.route = r.snapshot.RouteFor(r.in.Host, r.in.URL.EscapedPath())
+	if r.route == nil {
+		return refuse(http.StatusNotFound, 0), "no_route"
+	}
+	if r.snapshot.Keyed() {
+		r.customer = r.snapshot.CustomerOf(r.fields.Key)
+		if r.customer == nil && !r.route.Open {
+			return refuse(http.StatusUnauthorized, 0), "unknown_key"
+		}
+	}
+	r.setDeadline()
+	if r.customer != nil && !r.route.Open {
+		if ok, wait := r.e.quota.Take(r.e.now(), r.customer.Name); !ok {
+			return refuse(http.StatusTooManyRequests, wait), "over_quota"
+		}
+	}
+	r.service = r.e.splits.next(r.route)
+	r.e.budget.Earn(r.e.now(), r.service)
+	return nil, ""
+}
+
+func (r *request) setDeadline() {
+	left := r.fields.TimeLeft
+	if left <= 0 {
+		left = defaultTimeLeft
+	}
+	if r.route.Timeout > 0 {
+		left = min(left, r.route.Timeout)
+	}
+	r.deadline = r.in.Received.Add(left)
+}
+
+// attempts sends the request to upstreams until one answers. caller ends when
+// the caller leaves, running bounds each attempt.
+func (r *request) attempts(caller, running context.Context) (*ingress.Response, string) {
+	out := &upstream.Request{ID: r.fields.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host, Header: r.in.Header.Clone(), Body: r.in.Body}
+	upstream.RemoveConnectionHeaders(out.Header)
+	out.Header.Del("Expect")
+	for {
+		if response, reason := r.pick(caller); response != nil {
+			return response, reason
+		}
+		r.tried = append(r.tried, r.choice.ID)
+		r.last = r.e.upstream.Exchange(running, r.choice.Target, out, r.attempt())
+		r.finish()
+		if r.last.Outcome == upstream.Answered {
+			return &ingress.Response{Status: r.last.Response.Status, Header: r.last.Response.Header, Body: r.last.Response.Body}, "answered"
+		}
+		if !r.last.Outcome.NotRun() {
+			r.mayHaveRun = true
+		}
+		if !r.again(caller) {
+			return r.failure()
+		}
+	}
+}
+
+func (r *request) attempt() upstream.Attempt {
+	a := upstream.Attempt{Target: r.choice.ID, TimeLeft: time.Until(r.deadline)}
+	if r.customer != nil {
+		a.Customer = r.customer.Name
+	}
+	return a
+}
+
+func (r *request) finish() {
+	if what := r.e.steering.Done(r.e.now(), r.choice.ID, r.last); what != "" {
+		r.e.log.Info().Str("upstream", string(r.choice.ID)).Str("request", r.fields.ID).Str("change", what).
+			AnErr("cause", r.last.Err).Msg("upstream changed")
+	}
+}
+
+// pick chooses the upstream of the next attempt, or answers.
+func (r *request) pick(caller context.Context) (*ingress.Response, string) {
+	if caller.Err() == context.Canceled {
+		return &ingress.Response{}, "caller_left"
+	}
+	if time.Until(r.deadline) < minTimeLeft {
+		return r.failure()
+	}
+	choice, refusal := r.e.steering.Pick(r.e.now(), steering.Request{
+		Service:  r.service,
+		Affinity: steering.HashObject(string(r.service) + "/" + r.object()),
+		Allowed:  policy.Allowed(r.route, r.customer),
+		Exclude:  r.tried,
+		Depth:    depthOf(policy.PriorityOf(r.route, r.customer)),
+	})
+	if refusal == steering.Chosen {
+		r.choice = choice
+		return nil, ""
+	}
+	if len(r.tried) > 0 {
+		return r.failure()
+	}
+	r.refund()
+	return refuse(http.StatusServiceUnavailable, fullRetryAfter), refusal.String()
+}
+
+// object is what requests are kept together by: the object that the caller
+// names, else the request itself.
+func (r *request) object() string {
+	if r.fields.Affinity != "" && r.route.Sticky {
+		return string(r.route.Name) + "/" + r.fields.Affinity
+	}
+	return r.fields.ID
+}
+
+// again reports whether another attempt follows, and pays for it.
+func (r *request) again(caller context.Context) bool {
+	switch {
+	case caller.Err() != nil:
+		return false
+	case r.mayHaveRun && !r.route.Idempotent:
+		return false
+	case len(r.tried) >= r.route.MaxAttempts:
+		return false
+	}
+	return r.e.budget.Spend(r.e.now(), r.service)
+}
+
+// failure answers a request whose attempts failed.
+func (r *request) failure() (*ingress.Response, string) {
+	switch {
+	case !r.mayHaveRun:
+		r.refund()
+		return refuse(http.StatusServiceUnavailable, fullRetryAfter), "not_run"
+	case r.last.Outcome == upstream.Cancelled:
+		return &ingress.Response{}, "caller_left"
+	case r.last.Outcome == upstream.TimedOut:
+		return refuse(http.StatusGatewayTimeout, 0), "timed_out"
+	}
+	return refuse(http.StatusBadGateway, 0), "broken"
+}
+
+// refund gives the customer's token back for a request that has not run.
+func (r *request) refund() {
+	if r.customer != nil && !r.route.Open {
+		r.e.quota.Refund(r.customer.Name)
+	}
+}
+
+// refuse returns a response of the host's own. Callers come back after the given
+// time, if it is not 0.
+func refuse(status int, after time.Duration) *ingress.Response {
+	h := http.Header{}
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	return &ingress.Response{Status: status, Header: h}
+}
+
+// log writes one line for a finished request.
+func (r *request) log(response *ingress.Response, reason string) {
+	line := r.e.log.Info().Str("request", r.fields.ID).Int("status", response.Status).Str("outcome", reason).
+		Dur("took", time.Since(r.in.Received)).Dur("bound", r.fields.TimeLeft)
+	if r.snapshot != nil {
+		line = line.Uint64("version", r.snapshot.Version)
+	}
+	if r.route != nil {
+		line = line.Str("route", string(r.route.Name)).Str("service", string(r.service))
+	}
+	if r.customer != nil {
+		line = line.Str("customer", string(r.customer.Name))
+	}
+	if len(r.tried) > 0 {
+		line = line.Any("tried", r.tried).Str("last", r.last.Outcome.String()).Float64("load", r.choice.Load).
+			Int("slots", r.choice.Slots).Int("rank", r.choice.Rank).Str("region", string(r.choice.Region)).
+			Bool("cold", r.choice.Cold).Dur("attempt", r.last.Took).AnErr("cause", r.last.Err)
+	}
+	line.Msg("request")
+}
--- a/host/host.go
+++ b/host/host.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"github.com/catkinspring/catkinspring/internal/clock"
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
@@ -54,7 +55,7 @@
 	log      zerolog.Logger
 	self     fleet.Member
 	location fleet.Location
-	clock    *Clock
+	clock    *clock.Clock
 	state    state
 	registry metrics.Registry
 	ring     *timeline.Ring
@@ -134,7 +135,7 @@
 		version:  o.Version,
 		self:     fleet.Member{Host: s.Host.ID, Incarnation: newIncarnation()},
 		location: fleet.Location{Region: s.Host.Region, FailureDomain: s.Host.FailureDomain},
-		clock:    NewClock(),
+		clock:    clock.New(),
 		registry: metrics.NewRegistry(),
 		hlc:      &timeline.Clock{},
 		retired:  make(chan struct{}),
--- a/host/loop.go
+++ b/host/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/catkinspring/catkinspring/internal/clock"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -45,7 +46,7 @@
 // loop owns the state machines of the process. Only the goroutine in run
 // touches them.
 type loop struct {
-	clock   *Clock
+	clock   *clock.Clock
 	modules []module
 	routes  map[uint16]moduleID
 	inbox   chan item
@@ -63,7 +64,7 @@
 	busy    metrics.Counter
 }
 
-func newLoop(clock *Clock, e effects, registry metrics.Registry) *loop {
+func newLoop(clock *clock.Clock, e effects, registry metrics.Registry) *loop {
 	return &loop{
 		clock:   clock,
 		routes:  map[uint16]moduleID{},
--- a/host/loop_test.go
+++ b/host/loop_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"github.com/catkinspring/catkinspring/internal/clock"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 func newTestLoop(steps *[]string) *loop {
-	return newLoop(NewClock(), effects{
+	return newLoop(clock.New(), effects{
 		send:   func(to fleet.HostID, _ machine.Message) { *steps = append(*steps, "send "+string(to)) },
 		call:   func(machine.StoreCall, func(machine.StoreResult)) {},
 		record: func(machine.Now, machine.Event) {},
--- a/host/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-package host
+// Package clock reads the clocks of the process.
+package clock
 
 import (
 	"time"
@@ -11,8 +12,8 @@
 	start time.Time
 }
 
-// NewClock returns a clock whose instants count from now.
-func NewClock() *Clock {
+// New returns a clock whose instants count from now.
+func New() *Clock {
 	return &Clock{start: time.Now()}
 }
 
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,194 @@
+package policy
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+)
+
+// Part is one service of a weighted route.
+type Part struct {
+	Service fleet.Pool
+	Weight  int
+}
+
+// Route says where requests go and what may be done with them.
+type Route struct {
+	Name fleet.Route
+	// Host is compared without regard to case and port.
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	// Parts has at least one entry.
+	Parts []Part
+	// Idempotent requests may run more than once; all others at most once.
+	Idempotent bool
+	// Timeout bounds the time that a request is kept; 0 means no bound.
+	Timeout time.Duration
+	// TargetLatency is the time within which a response has its full value.
+	TargetLatency time.Duration
+	// MaxAttempts is the number of upstreams that may get one request, at least 1.
+	MaxAttempts int
+	// Priority is the rank of the requests; 0 is the highest.
+	Priority int
+	// Open routes take requests without a key.
+	Open bool
+	// Sticky routes gain from sending an object's requests to one upstream.
+	Sticky bool
+	// Homes are the regions that may serve the requests; empty means all.
+	Homes []fleet.Region
+}
+
+// Service is a set of upstreams that serve the same routes.
+type Service struct {
+	Name fleet.Pool
+	// MaxConnections is the number of connections that an upstream takes from all
+	// hosts together; 0 means unknown.
+	MaxConnections int
+	// SlowStart is how long an upstream stays cold after its start.
+	SlowStart time.Duration
+	// WarmupRate is the number of requests a second that a cold upstream bears.
+	WarmupRate float64
+}
+
+// Customer is one customer with its limit.
+type Customer struct {
+	Name fleet.Customer
+	// Keys are SHA-256 digests of the customer's keys.
+	Keys []Digest
+	// Priority replaces the priority of the route if HasPriority is true.
+	Priority    int
+	HasPriority bool
+	// Rate is in requests a second over all hosts; 0 means no limit.
+	Rate float64
+	// Burst is in requests, over all hosts.
+	Burst float64
+	// Homes are the regions that may serve the customer; empty means all.
+	Homes []fleet.Region
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of what the operators want.
+type Configuration struct {
+	// Version increases with each accepted configuration, in uneven steps.
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+}
+
+// Digest is the SHA-256 digest of a key. Keys are not kept in clear.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// Snapshot is an indexed Configuration. It must not be changed.
+type Snapshot struct {
+	Configuration
+	services map[fleet.Pool]*Service
+	byHost   map[string][]*Route
+	byKey    map[Digest]*Customer
+}
+
+// NewSnapshot indexes a configuration.
+func NewSnapshot(c Configuration) *Snapshot {
+	s := &Snapshot{
+		Configuration: c,
+		services:      make(map[fleet.Pool]*Service, len(c.Services)),
+		byHost:        make(map[string][]*Route),
+		byKey:         make(map[Digest]*Customer),
+	}
+	for i := range c.Services {
+		s.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		s.byHost[host] = append(s.byHost[host], r)
+	}
+	for _, routes := range s.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for i := range c.Customers {
+		for _, digest := range c.Customers[i].Keys {
+			s.byKey[digest] = &c.Customers[i]
+		}
+	}
+	return s
+}
+
+// Newer reports whether s may replace the snapshot in force.
+func (s *Snapshot) Newer(inForce *Snapshot) bool {
+	return inForce == nil || s.Version > inForce.Version
+}
+
+// Keyed reports whether requests need a key, which holds as soon as there are
+// customers.
+func (s *Snapshot) Keyed() bool { return len(s.Customers) > 0 }
+
+// RouteFor returns the route of the host with the longest prefix that begins the
+// path, or nil. The host may carry a port.
+func (s *Snapshot) RouteFor(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range s.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// CustomerOf returns the customer that holds a key, or nil. The look-up is by
+// digest, so its time does not depend on how much of a key is right.
+func (s *Snapshot) CustomerOf(key string) *Customer { return s.byKey[DigestOf(key)] }
+
+// Service returns a service, or nil.
+func (s *Snapshot) Service(name fleet.Pool) *Service { return s.services[name] }
+
+// Allowed returns the regions that may serve a route's requests of a customer;
+// nil means all. Where both have homes, both bind.
+func Allowed(r *Route, c *Customer) []fleet.Region {
+	if c == nil || len(c.Homes) == 0 {
+		return r.Homes
+	}
+	if len(r.Homes) == 0 {
+		return c.Homes
+	}
+	// An empty intersection must not mean that all regions are allowed.
+	both := make([]fleet.Region, 0, len(r.Homes))
+	for _, region := range r.Homes {
+		if slices.Contains(c.Homes, region) {
+			both = append(both, region)
+		}
+	}
+	if len(both) == 0 {
+		return []fleet.Region{noRegion}
+	}
+	return both
+}
+
+// noRegion is the name of no region.
+const noRegion fleet.Region = "\x00"
+
+// PriorityOf returns the rank of a customer's requests on a route; 0 is the
+// highest.
+func PriorityOf(r *Route, c *Customer) int {
+	if c != nil && c.HasPriority {
+		return c.Priority
+	}
+	return r.Priority
+}
--- a/dispatch/quiet.go
+++ b/upstream/quiet.go
@@ -1,13 +1,13 @@
-package dispatch
+package upstream
 
 import (
 	"net"
 	"syscall"
 )
 
-// quiet reports whether an idle connection has neither ended nor received
+// Quiet reports whether an idle connection has neither ended nor received
 // anything. Bytes on an idle connection are a late or second response.
-func quiet(c net.Conn) bool {
+func Quiet(c net.Conn) bool {
 	system, ok := c.(syscall.Conn)
 	if !ok {
 		return true
