--- /dev/null
+++ b/edge/control.go
@@ -0,0 +1,179 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"math"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gossip"
+	"github.com/catkinspring/catkinspring/internal/control"
+	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/peer"
+	"github.com/catkinspring/catkinspring/policy"
+	"github.com/catkinspring/catkinspring/steering"
+)
+
+// rateWeight is the weight of the last second in the running rate of arrivals:
+// demand changes over several seconds, and the rate must not follow chance.
+const rateWeight = 0.4
+
+// moduleIDs are the places of the state machines in the control loop.
+type moduleIDs struct {
+	gossip, limits control.ModuleID
+}
+
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand never fails; it ends the process instead
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
+
+// openControl binds the socket for peers and adds the state machines.
+func (e *Edge) openControl() error {
+	half := newIncarnation()
+	e.member = fleet.Member{Host: e.Settings.ID, Incarnation: gossip.IncarnationOf(half)}
+	e.loop = control.New(e.clock, control.Effects{
+		Send:   func(to fleet.HostID, m machine.Message) { e.datagrams.Send(to, m) },
+		Call:   func(machine.StoreCall, func(machine.StoreResult)) {},
+		Record: e.recordEvent,
+	}, e.registry)
+	e.limits = limits.NewTable(e.clock, func(in machine.Input) { e.loop.Post(e.modules.limits, in) })
+	e.modules.gossip = e.loop.Add(control.Module{
+		Name: "gossip", Machine: gossip.New(e.Settings.ID, e.Settings.Location, half), Output: e.gossipOutput,
+	}, gossip.Messages())
+	e.modules.limits = e.loop.Add(control.Module{
+		Name: "limits", Machine: limits.NewMachine(e.limits), Output: func(machine.Now, machine.Output) {},
+	}, limits.Messages())
+	e.loop.EverySecond = e.tellSelf
+	datagrams, err := peer.ListenDatagrams(peer.DatagramConfig{
+		Self: e.member, Listen: e.Settings.Listen.Peers,
+		Types:   append(gossip.Messages(), limits.Messages()...),
+		Receive: e.loop.Receive, Metrics: e.registry,
+	})
+	if err != nil {
+		return err
+	}
+	e.datagrams = datagrams
+	// A share belongs to the machine: a process that starts at its address follows
+	// one that is certainly dead. So the share is held for as long as the process
+	// lives, and the store's list of hosts is the only record of it.
+	e.loop.Post(e.modules.limits, machine.LeaseChanged{ValidUntil: machine.Instant(math.MaxInt64 / 2)})
+	return nil
+}
+
+func (e *Edge) recordEvent(_ machine.Now, event machine.Event) {
+	e.log.Info().Str("event", event.Kind).Str("customer", string(event.Customer)).Msg(event.Text)
+}
+
+// fetchKey gets the key that all entry hosts share.
+func (e *Edge) fetchKey(ctx context.Context) {
+	proposal := make([]byte, peer.DatagramKeySize)
+	_, _ = rand.Read(proposal) // crypto/rand never fails; it ends the process instead
+	for ctx.Err() == nil {
+		key, err := e.Store.SharedKey(ctx, proposal)
+		if err == nil {
+			err = e.datagrams.SetKey(key)
+		}
+		if err == nil {
+			return
+		}
+		e.log.Warn().Err(err).Msg("shared key is not available")
+		wait(ctx, registerRetry)
+	}
+}
+
+// arrivals measures the rate of arriving requests.
+type arrivals struct {
+	count atomic.Int64
+	// last and rate belong to the control loop.
+	last   int64
+	lastAt machine.Instant
+	rate   float64
+}
+
+func (a *arrivals) measure(now machine.Instant) float64 {
+	count := a.count.Load()
+	if seconds := now.Sub(a.lastAt).Seconds(); a.lastAt != 0 && seconds > 0 {
+		a.rate += rateWeight * (float64(count-a.last)/seconds - a.rate)
+	}
+	a.last, a.lastAt = count, now
+	return a.rate
+}
+
+func (e *Edge) tellSelf() {
+	e.loop.Forward(e.modules.gossip, gossip.SetSelf{Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now())})
+}
+
+func (e *Edge) gossipOutput(_ machine.Now, out machine.Output) {
+	changed, ok := out.(gossip.Changed)
+	if !ok {
+		return
+	}
+	e.peers.Store(&changed.Peers)
+	e.steering.SetDemand(demandOf(changed.Peers))
+	if !changed.Membership {
+		return
+	}
+	alive := 0
+	addresses := make(map[fleet.HostID]netip.AddrPort, len(changed.Peers))
+	for _, p := range changed.Peers {
+		addresses[p.ID] = p.Peers
+		if p.Alive && !p.Leaving {
+			alive++
+		}
+	}
+	e.datagrams.SetPeers(addresses)
+	e.loop.Forward(e.modules.limits, machine.ViewChanged{View: e.view(changed.Peers)})
+	e.log.Info().Int("hosts", len(changed.Peers)).Int("serving", alive).Msg("entry hosts changed")
+}
+
+func demandOf(peers []gossip.Peer) map[fleet.Region]float64 {
+	demand := make(map[fleet.Region]float64)
+	for _, p := range peers {
+		demand[p.Location.Region] += p.Rate
+	}
+	return demand
+}
+
+// view returns the hosts with their shares: every region has the same part of
+// each limit, and every host of a region has the same part of that.
+func (e *Edge) view(peers []gossip.Peer) *fleet.View {
+	hosts := make([]catalog.Host, 0, len(peers))
+	for _, p := range peers {
+		hosts = append(hosts, p.Host)
+	}
+	regions := steering.HostsIn(hosts)
+	v := &fleet.View{Self: e.member}
+	for _, p := range peers {
+		state := fleet.StateActive
+		if p.Leaving {
+			state = fleet.StateLeaving
+		}
+		v.Members = append(v.Members, fleet.ViewMember{
+			Member: fleet.Member{Host: p.ID, Incarnation: p.Member.Incarnation}, Location: p.Location, State: state,
+			PeerAddress: p.Peers, CallerAddress: p.Callers, Reachable: p.Alive,
+			Weight: uint32(fleet.TotalWeight / len(regions) / regions[p.Location.Region]),
+		})
+	}
+	return v
+}
+
+// setCustomers gives the limits of a configuration to the control loop.
+func (e *Edge) setCustomers(s *policy.Snapshot) {
+	set := limits.SetCustomers{Revision: fleet.Revision(s.Version)}
+	for i := range s.Customers {
+		if c := &s.Customers[i]; c.Rate > 0 {
+			set.Customers = append(set.Customers, limits.CustomerLimit{ID: c.Name, Rate: c.Rate, Burst: c.Burst})
+		}
+	}
+	for !e.loop.Post(e.modules.limits, set) {
+		time.Sleep(maintenanceInterval)
+	}
+}
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/ingress"
 )
 
@@ -21,7 +20,7 @@
 
 // ready reports whether the host can serve callers.
 func (e *Edge) ready() bool {
-	return !e.draining.Load() && e.snapshot.Load() != nil && e.steering.Known() > 0 && e.hosts.Load() != nil
+	return !e.draining.Load() && e.snapshot.Load() != nil && e.steering.Known() > 0 && e.peers.Load() != nil && e.limits.HasShare()
 }
 
 func (e *Edge) readinessHandler() http.Handler {
@@ -53,13 +52,13 @@
 // answer names the entry hosts of the caller's region; those of all regions if
 // it has none.
 func (e *Edge) answer(q ingress.Question) ingress.Answer {
-	list := e.hosts.Load()
+	list := e.peers.Load()
 	if list == nil {
 		return ingress.Answer{}
 	}
 	var near, all []netip.AddrPort
 	for _, h := range *list {
-		if h.ID == e.Settings.ID && e.draining.Load() || !e.usable(h) {
+		if !h.Alive || h.Leaving || h.ID == e.Settings.ID && e.draining.Load() {
 			continue
 		}
 		all = append(all, h.Callers)
@@ -73,6 +72,3 @@
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return ingress.Answer{Addresses: all[:min(len(all), maxAnswers)], MaxAge: min(answerAge, e.Settings.Bounds.MaxAnswerAge)}
 }
-
-// usable reports whether a host may be named to callers.
-func (e *Edge) usable(catalog.Host) bool { return true }
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/catkinspring/catkinspring/gossip"
 )
 
 const (
@@ -20,6 +22,7 @@
 	started := time.Now()
 	e.draining.Store(true)
 	e.log.Info().Int("connections", e.server.Connections()).Msg("planned stop begins")
+	e.loop.Post(e.modules.gossip, gossip.SetSelf{Leaving: true})
 	e.server.Drain()
 	time.Sleep(min(acceptAfterStop, e.Settings.Bounds.StopGrace/2))
 	_ = e.listeners.callers.Close()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -9,16 +9,20 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/ingress"
 	"github.com/catkinspring/catkinspring/internal/clock"
+	"github.com/catkinspring/catkinspring/internal/control"
+	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/policy"
-	"github.com/catkinspring/catkinspring/quota"
 	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
 )
@@ -40,6 +44,9 @@
 	Hosts() catalog.Source[catalog.Host]
 	// PutHost writes a host's own entry; a repeat is harmless.
 	PutHost(ctx context.Context, h catalog.Host) error
+	// SharedKey returns the key that all entry hosts share; the first proposal
+	// becomes the key.
+	SharedKey(ctx context.Context, proposal []byte) ([]byte, error)
 }
 
 // Codec translates what callers and upstreams send.
@@ -83,16 +90,25 @@
 	log   zerolog.Logger
 	clock *clock.Clock
 
+	member    fleet.Member
+	registry  metrics.Registry
+	loop      *control.Loop
+	modules   moduleIDs
+	datagrams *peer.Datagrams
+	arrivals  arrivals
+
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil before the first list.
-	hosts    atomic.Pointer[[]catalog.Host]
+	hosts atomic.Pointer[[]catalog.Host]
+	// peers are the entry hosts as gossip knows them.
+	peers    atomic.Pointer[[]gossip.Peer]
 	draining atomic.Bool
 	// splits holds the state of weighted routes by route name.
 	splits splitTable
 
 	steering *steering.Table
 	budget   *steering.Budget
-	quota    *quota.Table
+	limits   *limits.Table
 	upstream *upstream.Client
 	server   *ingress.Server
 
@@ -113,17 +129,20 @@
 			MaxRegionShift: b.MaxRegionShift, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
 		budget:   steering.NewBudget(steering.BudgetConfig{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow}),
-		quota:    quota.New(),
+		registry: metrics.NewRegistry(),
 		upstream: upstream.NewClient(o.Codec),
 	}
 	e.server = ingress.New(ingress.Config{
 		Handler:        e.handle,
-		Limits:         e.limits,
+		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
 	})
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
+	if err := e.openControl(); err != nil {
+		return nil, err
+	}
 	return e, nil
 }
 
@@ -149,8 +168,8 @@
 
 func (e *Edge) now() machine.Instant { return e.clock.Now().Instant }
 
-// limits returns the callers' limits of the configuration in force.
-func (e *Edge) limits() ingress.Limits {
+// callerLimits returns the callers' limits of the configuration in force.
+func (e *Edge) callerLimits() ingress.Limits {
 	s := e.snapshot.Load()
 	if s == nil {
 		return ingress.Limits{}
@@ -164,6 +183,9 @@
 	var group conc.WaitGroup
 	e.follow(ctx, &group)
 	group.Go(func() { e.register(ctx) })
+	group.Go(func() { e.fetchKey(ctx) })
+	group.Go(func() { e.loop.Run(ctx) })
+	group.Go(e.datagrams.Run)
 	group.Go(func() { e.maintain(ctx) })
 	group.Go(func() { _ = e.server.Serve(e.listeners.callers) })
 	servers := []*http.Server{
@@ -181,6 +203,7 @@
 	<-stop.Done()
 	e.drain()
 	cancel()
+	_ = e.datagrams.Close()
 	for _, s := range servers {
 		_ = s.Close()
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -8,8 +8,8 @@
 
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/policy"
-	"github.com/catkinspring/catkinspring/quota"
 	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
 )
@@ -77,7 +77,7 @@
 			warmup[s.Name] = steering.Warmup{SlowStart: s.SlowStart, Rate: s.WarmupRate}
 		}
 		e.steering.SetWarmup(warmup)
-		e.quota.SetCustomers(e.now(), next.Customers)
+		e.setCustomers(next)
 		e.snapshot.Store(next)
 		e.log.Info().Uint64("version", next.Version).Int("routes", len(next.Routes)).
 			Int("customers", len(next.Customers)).Uint64("store", u.Revision).Msg("configuration is in force")
@@ -116,9 +116,10 @@
 	e.hosts.Store(&list)
 	e.steering.SetHosts(list)
 	e.budget.SetHosts(len(list))
-	share := quota.ShareOf(list, e.Settings.ID)
-	e.quota.SetShare(e.now(), share)
-	e.log.Info().Int("hosts", len(list)).Float64("share", share).Uint64("store", revision).Msg("entry hosts changed")
+	for !e.loop.Post(e.modules.gossip, gossip.SetHosts{Hosts: list}) {
+		time.Sleep(maintenanceInterval)
+	}
+	e.log.Info().Int("hosts", len(list)).Uint64("store", revision).Msg("registered hosts changed")
 }
 
 // self is this host's own entry.
--- a/edge/request.go
+++ b/edge/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,7 +10,9 @@
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/ingress"
 	"github.com/catkinspring/catkinspring/policy"
+	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/steering"
+	"github.com/catkinspring/catkinspring/traffic"
 	"github.com/catkinspring/catkinspring/upstream"
 )
 
@@ -42,7 +45,9 @@
 	route    *policy.Route
 	customer *policy.Customer
 	service  fleet.Pool
-	deadline time.Time
+	// admission is the spent token of the customer; nil without a limit.
+	admission traffic.Admission
+	deadline  time.Time
 
 	// tried are the upstreams that got the request.
 	tried []fleet.Upstream
@@ -55,6 +60,7 @@
 
 // handle answers a request of a caller.
 func (e *Edge) handle(ctx context.Context, in *ingress.Request) *ingress.Response {
+	e.arrivals.count.Add(1)
 	r := &request{e: e, in: in, fields: e.Codec.Caller(in.Request), snapshot: e.snapshot.Load()}
 	response, reason := r.serve(ctx)
 	r.log(response, reason)
@@ -62,7 +68,7 @@
 }
 
 func (r *request) serve(ctx context.Context) (response *ingress.Response, reason string) {
-	if response, reason = r.admit(); response != nil {
+	if response, reason = r.admit(ctx); response != nil {
 		return response, reason
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -78,7 +84,7 @@
 }
 
 // admit checks a request against the configuration and the customer's limit.
-func (r *request) admit() (response *ingress.Response, reason string) {
+func (r *request) admit(ctx context.Context) (response *ingress.Response, reason string) {
 	if r.snapshot == nil {
 		return refuse(http.StatusServiceUnavailable, startRetryAfter), "no_configuration"
 	}
@@ -93,10 +99,12 @@
 		}
 	}
 	r.setDeadline()
-	if r.customer != nil && !r.route.Open {
-		if ok, wait := r.e.quota.Take(r.e.now(), r.customer.Name); !ok {
-			return refuse(http.StatusTooManyRequests, wait), "over_quota"
+	if r.customer != nil && !r.route.Open && r.customer.Rate > 0 {
+		admission, err := r.e.limits.Admit(ctx, r.customer.Name)
+		if err != nil {
+			return refuseQuota(err)
 		}
+		r.admission = admission
 	}
 	r.service = r.e.splits.next(r.route)
 	r.e.budget.Earn(r.e.now(), r.service)
@@ -218,11 +226,24 @@
 
 // refund gives the customer's token back for a request that has not run.
 func (r *request) refund() {
-	if r.customer != nil && !r.route.Open {
-		r.e.quota.Refund(r.customer.Name)
+	if r.admission != nil {
+		r.admission.Refund()
 	}
 }
 
+// refuseQuota answers a request for which there is no token.
+func refuseQuota(err error) (*ingress.Response, string) {
+	status, after, reason := http.StatusServiceUnavailable, fullRetryAfter, "no_share"
+	var refused *problem.Error
+	if errors.As(err, &refused) {
+		after = max(after, refused.RetryAfter)
+		if refused.Kind == problem.KindRateExceeded {
+			status, after, reason = http.StatusTooManyRequests, refused.RetryAfter, "over_quota"
+		}
+	}
+	return refuse(status, after), reason
+}
+
 // refuse returns a response of the host's own. Callers come back after the given
 // time, if it is not 0.
 func refuse(status int, after time.Duration) *ingress.Response {
--- /dev/null
+++ b/gossip/machine.go
@@ -0,0 +1,298 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// interval is the time between two rounds. A round is one message to a host of
+	// the own region and one to any other host.
+	interval = 700 * time.Millisecond
+	// deadAfter is the age at which a host counts as dead. News takes about three
+	// rounds through a fleet of 12 and five through one of 300. A dead host must
+	// not be named to callers 7 s after its end.
+	deadAfter = 4500 * time.Millisecond
+	// maxEntries bounds a message; the hosts heard of last go first.
+	maxEntries = 40
+)
+
+// numberDigest is of the range 750 to 799.
+const numberDigest = 750
+
+// Messages returns the message types of the package for the codec.
+func Messages() []machine.MessageType {
+	return []machine.MessageType{machine.TypeOf[Digest]()}
+}
+
+// Entry is what the sender knows of one host.
+type Entry struct {
+	_ struct{} `cbor:",toarray"`
+	// Host is a hash of the host's id.
+	Host uint64
+	// Incarnation is the first half of the incarnation; the rest is derived.
+	Incarnation uint64
+	// AgeMillis is how long ago the host was heard of.
+	AgeMillis uint32
+	Leaving   bool
+	// Rate is the number of requests that arrive at the host, in tenths a second.
+	Rate uint32
+}
+
+// Digest is what a host knows of the others.
+type Digest struct {
+	_       struct{} `cbor:",toarray"`
+	Entries []Entry
+}
+
+// MessageNumber returns 750.
+func (Digest) MessageNumber() uint16 { return numberDigest }
+
+// SetHosts carries the entry hosts that the store lists.
+type SetHosts struct {
+	Hosts []catalog.Host
+}
+
+// MachineInput marks SetHosts as an input.
+func (SetHosts) MachineInput() {}
+
+// SetSelf carries what this host tells of itself.
+type SetSelf struct {
+	Leaving bool
+	// Rate is in requests a second.
+	Rate float64
+}
+
+// MachineInput marks SetSelf as an input.
+func (SetSelf) MachineInput() {}
+
+// Peer is what is known of one entry host.
+type Peer struct {
+	catalog.Host
+	// Member has the incarnation that was heard of last; zero if there is none.
+	Member  fleet.Member
+	Alive   bool
+	Leaving bool
+	// Rate is in requests a second; it is 0 for a host that is not alive.
+	Rate float64
+}
+
+// Changed is the output for a change of the peers. The list has all hosts,
+// including this one, sorted by id.
+type Changed struct {
+	Peers []Peer
+	// Membership is true if more than a rate has changed.
+	Membership bool
+}
+
+// MachineOutput marks Changed as an output.
+func (Changed) MachineOutput() {}
+
+type known struct {
+	catalog.Host
+	incarnation uint64
+	heardAt     machine.Instant
+	leaving     bool
+	rate        uint32
+	alive       bool
+}
+
+// Machine is the state machine of the gossip.
+type Machine struct {
+	self     fleet.Member
+	own      Entry
+	location fleet.Location
+	hosts    map[uint64]*known
+	near     []uint64
+	far      []uint64
+	round    int
+	next     machine.Instant
+	out      []machine.Output
+}
+
+var _ machine.Machine = (*Machine)(nil)
+
+// IncarnationOf expands the half of an incarnation that is sent.
+func IncarnationOf(half uint64) fleet.Incarnation {
+	var i fleet.Incarnation
+	for at := range 8 {
+		i[at] = byte(half >> (8 * at))
+	}
+	return i
+}
+
+// New returns a machine for a host whose incarnation is IncarnationOf(half).
+func New(host fleet.HostID, location fleet.Location, half uint64) *Machine {
+	return &Machine{
+		self:     fleet.Member{Host: host, Incarnation: IncarnationOf(half)},
+		own:      Entry{Host: hashOf(host), Incarnation: half},
+		location: location,
+		hosts:    map[uint64]*known{},
+	}
+}
+
+func hashOf(h fleet.HostID) uint64 { return xxhash.Sum64String(string(h)) }
+
+// Step applies one input.
+func (m *Machine) Step(now machine.Now, in machine.Input) []machine.Output {
+	m.out = nil
+	at := now.Instant
+	switch in := in.(type) {
+	case machine.Tick:
+		m.tick(at)
+	case machine.Received:
+		if d, ok := in.Message.(Digest); ok {
+			m.receive(at, in.From, d)
+		}
+	case SetHosts:
+		m.setHosts(at, in.Hosts)
+	case SetSelf:
+		leaving := in.Leaving != m.own.Leaving
+		m.own.Leaving = in.Leaving
+		m.own.Rate = uint32(in.Rate * 10)
+		if leaving {
+			// Peers must stop naming this host at once.
+			m.tellAll(at)
+		}
+	}
+	return m.out
+}
+
+func (m *Machine) setHosts(now machine.Instant, hosts []catalog.Host) {
+	next := make(map[uint64]*known, len(hosts))
+	m.near, m.far = nil, nil
+	for _, h := range hosts {
+		id := hashOf(h.ID)
+		k := m.hosts[id]
+		if k == nil {
+			k = &known{heardAt: now, alive: true}
+		}
+		k.Host = h
+		next[id] = k
+		switch {
+		case h.ID == m.self.Host:
+		case h.Location.Region == m.location.Region:
+			m.near = append(m.near, id)
+		default:
+			m.far = append(m.far, id)
+		}
+	}
+	slices.Sort(m.near)
+	slices.Sort(m.far)
+	m.hosts = next
+	m.publish(true)
+}
+
+// tick sends a round and notices silence.
+func (m *Machine) tick(now machine.Instant) {
+	changed := false
+	for id, k := range m.hosts {
+		alive := id == m.own.Host || now.Sub(k.heardAt) < deadAfter
+		if alive != k.alive {
+			k.alive = alive
+			changed = true
+		}
+	}
+	if changed {
+		m.publish(true)
+	}
+	if now < m.next {
+		return
+	}
+	m.next = now.Add(interval)
+	m.round++
+	m.tell(now, m.near)
+	m.tell(now, m.far)
+	m.publish(false)
+}
+
+// tell sends what is known to one host of a list. Hosts take turns; each host
+// starts at another place, so that news spreads.
+func (m *Machine) tell(now machine.Instant, list []uint64) {
+	if len(list) == 0 {
+		return
+	}
+	at := (m.own.Host%uint64(len(list)) + uint64(m.round)) % uint64(len(list))
+	m.out = append(m.out, machine.Send{To: m.hosts[list[at]].ID, Message: m.digest(now)})
+}
+
+func (m *Machine) tellAll(now machine.Instant) {
+	for _, list := range [][]uint64{m.near, m.far} {
+		for _, id := range list[:min(len(list), maxEntries)] {
+			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}}})
+		}
+	}
+}
+
+func (m *Machine) digest(now machine.Instant) Digest {
+	d := Digest{Entries: []Entry{m.own}}
+	for id, k := range m.hosts {
+		if id == m.own.Host || !k.alive || k.incarnation == 0 {
+			continue
+		}
+		d.Entries = append(d.Entries, Entry{
+			Host: id, Incarnation: k.incarnation, AgeMillis: uint32(now.Sub(k.heardAt).Milliseconds()),
+			Leaving: k.leaving, Rate: k.rate,
+		})
+	}
+	slices.SortFunc(d.Entries, func(a, b Entry) int {
+		if a.AgeMillis != b.AgeMillis {
+			return int(a.AgeMillis) - int(b.AgeMillis)
+		}
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	d.Entries = d.Entries[:min(len(d.Entries), maxEntries)]
+	return d
+}
+
+func (m *Machine) receive(now machine.Instant, from fleet.Member, d Digest) {
+	changed := false
+	for _, e := range d.Entries {
+		k := m.hosts[e.Host]
+		if k == nil || e.Host == m.own.Host {
+			continue
+		}
+		heard := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+		if heard <= k.heardAt && k.incarnation != 0 {
+			continue
+		}
+		changed = changed || k.incarnation != e.Incarnation || k.leaving != e.Leaving || !k.alive
+		k.incarnation, k.leaving, k.rate, k.heardAt = e.Incarnation, e.Leaving, e.Rate, max(heard, k.heardAt)
+		k.alive = now.Sub(k.heardAt) < deadAfter
+	}
+	if changed {
+		m.publish(true)
+	}
+}
+
+func (m *Machine) publish(membership bool) {
+	c := Changed{Membership: membership}
+	for id, k := range m.hosts {
+		p := Peer{Host: k.Host, Alive: k.alive, Leaving: k.leaving}
+		if id == m.own.Host {
+			p.Member, p.Alive, p.Leaving, p.Rate = m.self, true, m.own.Leaving, float64(m.own.Rate)/10
+		} else if k.incarnation != 0 {
+			p.Member = fleet.Member{Host: k.ID, Incarnation: IncarnationOf(k.incarnation)}
+			if k.alive {
+				p.Rate = float64(k.rate) / 10
+			}
+		}
+		c.Peers = append(c.Peers, p)
+	}
+	slices.SortFunc(c.Peers, func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	m.out = append(m.out, c)
+}
--- a/host/drain.go
+++ b/host/drain.go
@@ -43,7 +43,7 @@
 	h.record(h.clock.Now(), machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
 	timeout := time.NewTimer(h.settings.Drain.Timeout)
 	defer timeout.Stop()
-	if !h.loop.post(h.modules.membership, membership.Leave{}) {
+	if !h.loop.Post(h.modules.membership, membership.Leave{}) {
 		h.log.Error().Msg("control loop did not take the leave request")
 	}
 	// Requests go on until every cached answer has lapsed; the membership needs
--- a/host/host.go
+++ b/host/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"github.com/catkinspring/catkinspring/internal/clock"
+	"github.com/catkinspring/catkinspring/internal/control"
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
@@ -72,7 +73,7 @@
 	objects   *store.HTTP
 	runner    *store.Runner
 	transport *peer.Transport
-	loop      *loop
+	loop      *control.Loop
 	modules   moduleIDs
 	// operations is owned by the control loop.
 	operations *operations.Machine
@@ -197,9 +198,9 @@
 	if err := h.openStore(token); err != nil {
 		return err
 	}
-	h.loop = newLoop(h.clock, effects{send: h.send, call: h.callStore, record: h.record}, h.registry)
-	h.loop.everySecond = h.repeatRevisions
-	h.loop.everyTick = func() { h.state.pendingReports.Store(int64(h.operations.Pending())) }
+	h.loop = control.New(h.clock, control.Effects{Send: h.send, Call: h.callStore, Record: h.record}, h.registry)
+	h.loop.EverySecond = h.repeatRevisions
+	h.loop.EveryTick = func() { h.state.pendingReports.Store(int64(h.operations.Pending())) }
 	h.buildTables()
 	h.addModules()
 	if err := h.openTransport(); err != nil {
@@ -211,7 +212,7 @@
 }
 
 func (h *Host) buildTables() {
-	h.limits = limits.NewTable(h.clock, func(in machine.Input) { h.loop.post(h.modules.limits, in) })
+	h.limits = limits.NewTable(h.clock, func(in machine.Input) { h.loop.Post(h.modules.limits, in) })
 	h.placement = placement.NewTable(placement.Config{
 		Location:            h.location,
 		Clock:               h.clock,
@@ -219,16 +220,16 @@
 		Random:              mathrand.Uint64,
 		MaxQueuePerCustomer: h.settings.Requests.QueuePerCustomer,
 		MaxQueue:            h.settings.Requests.QueuePerHost,
-		Post:                func(in machine.Input) bool { return h.loop.post(h.modules.placement, in) },
+		Post:                func(in machine.Input) bool { return h.loop.Post(h.modules.placement, in) },
 		Registry:            h.registry,
 	})
-	h.claims = operations.NewClient(func(in machine.Input) bool { return h.loop.post(h.modules.operations, in) }, h.clock, &h.state, h.registry)
+	h.claims = operations.NewClient(func(in machine.Input) bool { return h.loop.Post(h.modules.operations, in) }, h.clock, &h.state, h.registry)
 	h.quarantine = &dispatch.Table{}
 	h.dispatcher = dispatch.New(dispatch.Config{
 		Placer:   h.placement,
 		Clock:    h.clock,
 		Table:    h.quarantine,
-		Report:   func(in machine.Input) { h.loop.post(h.modules.quarantine, in) },
+		Report:   func(in machine.Input) { h.loop.Post(h.modules.quarantine, in) },
 		Registry: h.registry,
 	})
 }
@@ -279,7 +280,7 @@
 func (h *Host) Run(stop, drain context.Context) error {
 	ctx, cancel := context.WithCancel(stop)
 	var group conc.WaitGroup
-	group.Go(func() { h.loop.run(ctx) })
+	group.Go(func() { h.loop.Run(ctx) })
 	group.Go(func() { h.dispatcher.Run(ctx) })
 	group.Go(func() { h.watchHead(ctx) })
 	group.Go(func() { h.regions.run(ctx) })
--- a/host/measures.go
+++ b/host/measures.go
@@ -51,7 +51,7 @@
 	switch out := out.(type) {
 	case alert.Collect:
 		// Merging histograms takes milliseconds, for which the loop must not stop.
-		go func() { h.loop.post(h.modules.alert, alert.Measured{Report: h.report(now)}) }()
+		go func() { h.loop.Post(h.modules.alert, alert.Measured{Report: h.report(now)}) }()
 	case alert.Current:
 		h.state.alerts.Store(&out)
 	}
--- a/host/modules.go
+++ b/host/modules.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"github.com/catkinspring/catkinspring/internal/control"
 	mathrand "math/rand/v2"
 
 	"github.com/catkinspring/catkinspring/alert"
@@ -18,22 +19,22 @@
 
 // moduleIDs are the places of the modules in the loop.
 type moduleIDs struct {
-	membership    moduleID
-	configuration moduleID
-	limits        moduleID
-	placement     moduleID
-	quarantine    moduleID
-	operations    moduleID
-	directory     moduleID
-	contacts      moduleID
-	alert         moduleID
+	membership    control.ModuleID
+	configuration control.ModuleID
+	limits        control.ModuleID
+	placement     control.ModuleID
+	quarantine    control.ModuleID
+	operations    control.ModuleID
+	directory     control.ModuleID
+	contacts      control.ModuleID
+	alert         control.ModuleID
 }
 
 func (h *Host) addModules() {
 	h.operations = operations.New(operations.Options{Self: h.self})
-	h.modules.membership = h.loop.add(module{
-		name: "membership",
-		machine: membership.New(membership.Options{
+	h.modules.membership = h.loop.Add(control.Module{
+		Name: "membership",
+		Machine: membership.New(membership.Options{
 			Self:          h.self,
 			Location:      h.location,
 			PeerAddress:   h.settings.Advertise.Peers,
@@ -43,47 +44,47 @@
 			LeaveDelay:    h.settings.Lookup.MaxAge,
 			Rand:          mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		}),
-		output: h.membershipOutput,
+		Output: h.membershipOutput,
 	}, membership.Messages())
-	h.modules.configuration = h.loop.add(module{
-		name:    "configuration",
-		machine: configuration.New(h.self),
-		output:  h.configurationOutput,
+	h.modules.configuration = h.loop.Add(control.Module{
+		Name:    "configuration",
+		Machine: configuration.New(h.self),
+		Output:  h.configurationOutput,
 	}, configuration.Messages())
-	h.modules.limits = h.loop.add(module{
-		name:    "limits",
-		machine: limits.NewMachine(h.limits),
-		output:  ignoreOutput,
+	h.modules.limits = h.loop.Add(control.Module{
+		Name:    "limits",
+		Machine: limits.NewMachine(h.limits),
+		Output:  ignoreOutput,
 	}, limits.Messages())
-	h.modules.placement = h.loop.add(module{
-		name:    "placement",
-		machine: placement.NewMachine(h.self.Host, h.location.Region),
-		output:  h.placementOutput,
+	h.modules.placement = h.loop.Add(control.Module{
+		Name:    "placement",
+		Machine: placement.NewMachine(h.self.Host, h.location.Region),
+		Output:  h.placementOutput,
 	}, placement.Messages())
-	h.modules.quarantine = h.loop.add(module{
-		name:    "quarantine",
-		machine: dispatch.NewQuarantine(h.self, h.quarantine),
-		output:  ignoreOutput,
+	h.modules.quarantine = h.loop.Add(control.Module{
+		Name:    "quarantine",
+		Machine: dispatch.NewQuarantine(h.self, h.quarantine),
+		Output:  ignoreOutput,
 	}, dispatch.Messages())
-	h.modules.operations = h.loop.add(module{
-		name:    "operations",
-		machine: h.operations,
-		output:  h.operationsOutput,
+	h.modules.operations = h.loop.Add(control.Module{
+		Name:    "operations",
+		Machine: h.operations,
+		Output:  h.operationsOutput,
 	}, operations.Messages())
-	h.modules.directory = h.loop.add(module{
-		name:    "directory",
-		machine: directory.NewMachine(h.self.Host),
-		output:  h.directoryOutput,
+	h.modules.directory = h.loop.Add(control.Module{
+		Name:    "directory",
+		Machine: directory.NewMachine(h.self.Host),
+		Output:  h.directoryOutput,
 	}, directory.Messages())
-	h.modules.contacts = h.loop.add(module{
-		name:    "contacts",
-		machine: operator.NewContacts(h.self, h.settings.Advertise.Operators),
-		output:  h.contactsOutput,
+	h.modules.contacts = h.loop.Add(control.Module{
+		Name:    "contacts",
+		Machine: operator.NewContacts(h.self, h.settings.Advertise.Operators),
+		Output:  h.contactsOutput,
 	}, operator.Messages())
-	h.modules.alert = h.loop.add(module{
-		name:    "alert",
-		machine: alert.New(h.self),
-		output:  h.alertOutput,
+	h.modules.alert = h.loop.Add(control.Module{
+		Name:    "alert",
+		Machine: alert.New(h.self),
+		Output:  h.alertOutput,
 	}, alert.Messages())
 }
 
@@ -111,17 +112,17 @@
 	case membership.ViewPublished:
 		h.state.view.Store(out.View)
 		h.applyShiftCaps()
-		h.loop.stepOthers(h.modules.membership, machine.ViewChanged{View: out.View})
+		h.loop.StepOthers(h.modules.membership, machine.ViewChanged{View: out.View})
 	case membership.LeaseRenewed:
 		h.changeLease(now, out.ValidUntil)
-		h.loop.stepOthers(h.modules.membership, machine.LeaseChanged{ValidUntil: out.ValidUntil})
+		h.loop.StepOthers(h.modules.membership, machine.LeaseChanged{ValidUntil: out.ValidUntil})
 	case membership.RevisionSeen:
 		h.seen = out
 		h.repeatRevisions()
 	case membership.ContactsChanged:
 		h.transport.SetPeers(out.Peers)
 	case membership.UncommittedAcknowledged:
-		h.loop.forward(h.modules.operations, operations.UncommittedAcknowledged{Since: out.Since})
+		h.loop.Forward(h.modules.operations, operations.UncommittedAcknowledged{Since: out.Since})
 	case membership.Retired:
 		h.log.Warn().Msg("incarnation was retired by its cell")
 		h.endOnce(h.retired)
@@ -135,7 +136,7 @@
 // changes only, so the report is repeated every second.
 func (h *Host) repeatRevisions() {
 	for _, holder := range h.seen.Holders {
-		h.loop.forward(h.modules.configuration, configuration.PeerRevision{Revision: h.seen.Revision, Host: holder})
+		h.loop.Forward(h.modules.configuration, configuration.PeerRevision{Revision: h.seen.Revision, Host: holder})
 	}
 }
 
@@ -174,9 +175,9 @@
 	h.regions.update(p.Snapshot.Blocks)
 	h.state.snapshot.Store(p.Snapshot)
 	h.applyShiftCaps()
-	h.loop.stepNow(h.modules.limits, customerLimits(p.Snapshot))
-	h.loop.forward(h.modules.alert, alertRules(p.Snapshot))
-	h.loop.forward(h.modules.membership, membership.SetRevision{Revision: p.Snapshot.Revision})
+	h.loop.StepNow(h.modules.limits, customerLimits(p.Snapshot))
+	h.loop.Forward(h.modules.alert, alertRules(p.Snapshot))
+	h.loop.Forward(h.modules.membership, membership.SetRevision{Revision: p.Snapshot.Revision})
 	h.log.Info().Uint64("revision", uint64(p.Snapshot.Revision)).Msg("configuration is in force")
 }
 
@@ -214,7 +215,7 @@
 	case directory.Changed:
 		h.adoptHosts(out.Hosts)
 	case directory.Confirmed:
-		h.loop.forward(h.modules.membership, membership.PlatformHosts{Hosts: h.listed})
+		h.loop.Forward(h.modules.membership, membership.PlatformHosts{Hosts: h.listed})
 	}
 }
 
@@ -229,9 +230,9 @@
 	case operations.Decided:
 		h.claims.Deliver(out)
 	case operations.DeclareUncommitted:
-		h.loop.forward(h.modules.membership, membership.SetUncommitted{Since: out.Since})
+		h.loop.Forward(h.modules.membership, membership.SetUncommitted{Since: out.Since})
 	case operations.ClearUncommitted:
-		h.loop.forward(h.modules.membership, membership.ClearUncommitted{})
+		h.loop.Forward(h.modules.membership, membership.ClearUncommitted{})
 	}
 }
 
@@ -243,8 +244,8 @@
 	case placement.EstimatesChanged:
 		h.placement.SetEstimates(out.Estimates)
 		h.placement.SetRemoteLimits(out.Limits)
-		h.loop.forward(h.modules.placement, placement.WorkMeasured{Work: h.placement.InFlight()})
-		h.loop.forward(h.modules.membership, membership.SetLoad{Load: h.advertisedLoad()})
+		h.loop.Forward(h.modules.placement, placement.WorkMeasured{Work: h.placement.InFlight()})
+		h.loop.Forward(h.modules.membership, membership.SetLoad{Load: h.advertisedLoad()})
 	case placement.Probe:
 		h.startProbe(out)
 	}
--- a/host/outside.go
+++ b/host/outside.go
@@ -83,7 +83,7 @@
 		Listen:   h.settings.Listen.Peers,
 		Files:    peer.Files{CA: h.settings.FleetTLS.CA, Certificate: h.settings.FleetTLS.Certificate, Key: h.settings.FleetTLS.Key},
 		Types:    messageTypes(),
-		Receive:  h.loop.receive,
+		Receive:  h.loop.Receive,
 		Timeline: h.hlc,
 		Metrics:  h.registry,
 	})
@@ -132,7 +132,7 @@
 // deliverHead gives a read of the head to the configuration. It returns false if
 // the control loop could not take it.
 func (h *Host) deliverHead(result machine.StoreResult) bool {
-	return h.loop.post(h.modules.configuration, configuration.HeadRead{Result: result})
+	return h.loop.Post(h.modules.configuration, configuration.HeadRead{Result: result})
 }
 
 func headKnown(outcome machine.StoreOutcome) bool {
@@ -172,7 +172,7 @@
 func (h *Host) readHosts() {
 	go func() {
 		list, err := h.objects.ListHosts(context.Background())
-		h.loop.post(h.modules.directory, directory.ListRead{OK: err == nil, List: list})
+		h.loop.Post(h.modules.directory, directory.ListRead{OK: err == nil, List: list})
 	}()
 }
 
@@ -193,8 +193,8 @@
 		}
 	}
 	h.listed = entries
-	h.loop.forward(h.modules.membership, membership.PlatformHosts{Hosts: entries})
-	h.loop.forward(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
+	h.loop.Forward(h.modules.membership, membership.PlatformHosts{Hosts: entries})
+	h.loop.Forward(h.modules.placement, placement.UpstreamsListed{Upstreams: upstreams})
 }
 
 func listedUpstream(l store.ListedHost) placement.ListedUpstream {
@@ -223,7 +223,7 @@
 		}
 		changes, err := h.objects.Watch(ctx, headKind, since, h.settings.Platform.WatchTimeout)
 		if err != nil || !watching || len(changes.Changes) > 0 {
-			h.loop.post(h.modules.configuration, configuration.HeadChanged{})
+			h.loop.Post(h.modules.configuration, configuration.HeadChanged{})
 		}
 		watching = err == nil
 		since = changes.Version
@@ -256,7 +256,7 @@
 	sent := h.clock.Now().Instant
 	go func() {
 		health, err := probe(p.Address, p.Timeout)
-		h.loop.post(h.modules.placement, placement.ProbeDone{
+		h.loop.Post(h.modules.placement, placement.ProbeDone{
 			Upstream: p.Upstream,
 			Sent:     sent,
 			InFlight: health.Load,
--- a/host/requests.go
+++ b/host/requests.go
@@ -86,7 +86,7 @@
 // applyNote hands a note to the configuration and waits for the decision.
 func (h *Host) applyNote(ctx context.Context, note *configuration.Note) (configuration.NoteResult, error) {
 	id, decided := h.notes.begin()
-	if !h.loop.post(h.modules.configuration, configuration.ApplyNote{RequestID: id, Note: note}) {
+	if !h.loop.Post(h.modules.configuration, configuration.ApplyNote{RequestID: id, Note: note}) {
 		h.notes.forget(id)
 		return configuration.NoteResult{}, &BusyError{}
 	}
--- a/host/loop.go
+++ b/internal/control/loop.go
@@ -1,4 +1,4 @@
-package host
+package control
 
 import (
 	"context"
@@ -19,44 +19,44 @@
 	inboxSize = 8192
 )
 
-// moduleID selects a module of the loop.
-type moduleID int
+// ModuleID selects a module of the loop.
+type ModuleID int
 
-// module is a state machine with its place in the loop.
-type module struct {
-	name    string
-	machine machine.Machine
+// Module is a state machine with its place in the loop.
+type Module struct {
+	Name    string
+	Machine machine.Machine
 	// output handles the outputs that only this module has.
-	output func(now machine.Now, out machine.Output)
+	Output func(now machine.Now, out machine.Output)
 }
 
 // item is an input on its way to a module.
 type item struct {
-	module moduleID
+	module ModuleID
 	input  machine.Input
 }
 
-// effects are the actions of the loop on the outside.
-type effects struct {
-	send   func(to fleet.HostID, m machine.Message)
-	call   func(call machine.StoreCall, done func(machine.StoreResult))
-	record func(now machine.Now, e machine.Event)
+// Effects are the actions of the loop on the outside.
+type Effects struct {
+	Send   func(to fleet.HostID, m machine.Message)
+	Call   func(call machine.StoreCall, done func(machine.StoreResult))
+	Record func(now machine.Now, e machine.Event)
 }
 
-// loop owns the state machines of the process. Only the goroutine in run
+// Loop owns the state machines of the process. Only the goroutine in Run
 // touches them.
-type loop struct {
+type Loop struct {
 	clock   *clock.Clock
-	modules []module
-	routes  map[uint16]moduleID
+	modules []Module
+	routes  map[uint16]ModuleID
 	inbox   chan item
 	stopped chan struct{}
 	local   []item
-	effects effects
-	// everyTick is called from the loop after each tick, everySecond about once a
+	effects Effects
+	// EveryTick is called from the loop after each tick, EverySecond about once a
 	// second.
-	everyTick   func()
-	everySecond func()
+	EveryTick   func()
+	EverySecond func()
 	nextSecond  machine.Instant
 
 	dropped metrics.Counter
@@ -64,16 +64,16 @@
 	busy    metrics.Counter
 }
 
-func newLoop(clock *clock.Clock, e effects, registry metrics.Registry) *loop {
-	return &loop{
+func New(clock *clock.Clock, e Effects, registry metrics.Registry) *Loop {
+	return &Loop{
 		clock:   clock,
-		routes:  map[uint16]moduleID{},
+		routes:  map[uint16]ModuleID{},
 		inbox:   make(chan item, inboxSize),
 		stopped: make(chan struct{}),
 		effects: e,
 
-		everyTick:   func() {},
-		everySecond: func() {},
+		EveryTick:   func() {},
+		EverySecond: func() {},
 
 		dropped: metrics.NewRegisteredCounter("control.inputs.dropped", registry),
 		steps:   metrics.NewRegisteredCounter("control.steps", registry),
@@ -81,10 +81,10 @@
 	}
 }
 
-// add registers a module with the peer messages that it receives. It must not
-// be called after run has started.
-func (l *loop) add(m module, messages []machine.MessageType) moduleID {
-	id := moduleID(len(l.modules))
+// Add registers a module with the peer messages that it receives. It must not
+// be called after Run has started.
+func (l *Loop) Add(m Module, messages []machine.MessageType) ModuleID {
+	id := ModuleID(len(l.modules))
 	l.modules = append(l.modules, m)
 	for _, t := range messages {
 		l.routes[t.Number] = id
@@ -92,9 +92,9 @@
 	return id
 }
 
-// post hands an input to a module. It never waits: it returns false and counts
+// Post hands an input to a module. It never waits: it returns false and counts
 // the input as dropped if the inbox is full. It is safe for concurrent use.
-func (l *loop) post(id moduleID, in machine.Input) bool {
+func (l *Loop) Post(id ModuleID, in machine.Input) bool {
 	select {
 	case l.inbox <- item{module: id, input: in}:
 		return true
@@ -104,36 +104,36 @@
 	}
 }
 
-// receive hands a message from an authenticated peer to its module.
-func (l *loop) receive(from fleet.Member, m machine.Message) {
+// Receive hands a message from an authenticated peer to its module.
+func (l *Loop) Receive(from fleet.Member, m machine.Message) {
 	if id, known := l.routes[m.MessageNumber()]; known {
-		l.post(id, machine.Received{From: from, Message: m})
+		l.Post(id, machine.Received{From: from, Message: m})
 	}
 }
 
-// forward queues an input from within the loop, behind those queued before. It
+// Forward queues an input from within the loop, behind those queued before. It
 // must be called only from output handlers.
-func (l *loop) forward(id moduleID, in machine.Input) {
+func (l *Loop) Forward(id ModuleID, in machine.Input) {
 	l.local = append(l.local, item{module: id, input: in})
 }
 
-// stepNow applies an input to a module at once, with its outputs. It must be
+// StepNow applies an input to a module at once, with its outputs. It must be
 // called only from output handlers, and not for the module whose output it is.
-func (l *loop) stepNow(id moduleID, in machine.Input) {
+func (l *Loop) StepNow(id ModuleID, in machine.Input) {
 	l.step(item{module: id, input: in})
 }
 
-// stepOthers applies an input at once to every module but one.
-func (l *loop) stepOthers(except moduleID, in machine.Input) {
+// StepOthers applies an input at once to every module but one.
+func (l *Loop) StepOthers(except ModuleID, in machine.Input) {
 	for id := range l.modules {
-		if moduleID(id) != except {
-			l.stepNow(moduleID(id), in)
+		if ModuleID(id) != except {
+			l.StepNow(ModuleID(id), in)
 		}
 	}
 }
 
-// run steps the modules until the context ends.
-func (l *loop) run(ctx context.Context) {
+// Run steps the modules until the context ends.
+func (l *Loop) Run(ctx context.Context) {
 	defer close(l.stopped)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -149,19 +149,19 @@
 	}
 }
 
-func (l *loop) tick() {
+func (l *Loop) tick() {
 	if now := l.clock.Now().Instant; now >= l.nextSecond {
 		l.nextSecond = now.Add(time.Second)
-		l.everySecond()
+		l.EverySecond()
 	}
 	for id := range l.modules {
-		l.process(item{module: moduleID(id), input: machine.Tick{}})
+		l.process(item{module: ModuleID(id), input: machine.Tick{}})
 	}
-	l.everyTick()
+	l.EveryTick()
 }
 
 // process applies an input and every input that follows from it.
-func (l *loop) process(first item) {
+func (l *Loop) process(first item) {
 	started := time.Now()
 	l.step(first)
 	for len(l.local) > 0 {
@@ -172,32 +172,32 @@
 	l.busy.Inc(int64(time.Since(started)))
 }
 
-func (l *loop) step(next item) {
+func (l *Loop) step(next item) {
 	l.steps.Inc(1)
 	now := l.clock.Now()
 	m := &l.modules[next.module]
-	for _, out := range m.machine.Step(now, next.input) {
+	for _, out := range m.Machine.Step(now, next.input) {
 		l.carryOut(now, next.module, out)
 	}
 }
 
-func (l *loop) carryOut(now machine.Now, id moduleID, out machine.Output) {
+func (l *Loop) carryOut(now machine.Now, id ModuleID, out machine.Output) {
 	switch out := out.(type) {
 	case machine.Send:
-		l.effects.send(out.To, out.Message)
+		l.effects.Send(out.To, out.Message)
 	case machine.StoreCall:
-		l.effects.call(out, func(result machine.StoreResult) { l.deliverResult(id, result) })
+		l.effects.Call(out, func(result machine.StoreResult) { l.deliverResult(id, result) })
 	case machine.Event:
-		l.effects.record(now, out)
+		l.effects.Record(now, out)
 	default:
-		l.modules[id].output(now, out)
+		l.modules[id].Output(now, out)
 	}
 }
 
 // deliverResult waits for room in the inbox, because a machine whose store
 // result is lost would wait for it forever. The caller is a worker of the store
 // runner, whose number bounds the waiting results.
-func (l *loop) deliverResult(id moduleID, result machine.StoreResult) {
+func (l *Loop) deliverResult(id ModuleID, result machine.StoreResult) {
 	select {
 	case l.inbox <- item{module: id, input: result}:
 	case <-l.stopped:
--- a/host/loop_test.go
+++ b/internal/control/loop_test.go
@@ -1,4 +1,4 @@
-package host
+package control
 
 import (
 	"github.com/catkinspring/catkinspring/internal/clock"
@@ -29,11 +29,11 @@
 	return s.outputs
 }
 
-func newTestLoop(steps *[]string) *loop {
-	return newLoop(clock.New(), effects{
-		send:   func(to fleet.HostID, _ machine.Message) { *steps = append(*steps, "send "+string(to)) },
-		call:   func(machine.StoreCall, func(machine.StoreResult)) {},
-		record: func(machine.Now, machine.Event) {},
+func newTestLoop(steps *[]string) *Loop {
+	return New(clock.New(), Effects{
+		Send:   func(to fleet.HostID, _ machine.Message) { *steps = append(*steps, "send "+string(to)) },
+		Call:   func(machine.StoreCall, func(machine.StoreResult)) {},
+		Record: func(machine.Now, machine.Event) {},
 	}, metrics.NewRegistry())
 }
 
@@ -42,9 +42,9 @@
 func TestViewIsAppliedBeforeLaterOutputs(t *testing.T) {
 	var steps []string
 	l := newTestLoop(&steps)
-	first := l.add(module{name: "first", machine: scripted{outputs: []machine.Output{published{}, machine.Send{To: "peer"}}, inputs: &steps, name: "first"}}, nil)
-	l.add(module{name: "second", machine: scripted{inputs: &steps, name: "second"}}, nil)
-	l.modules[first].output = func(machine.Now, machine.Output) { l.stepOthers(first, machine.ViewChanged{}) }
+	first := l.Add(Module{Name: "first", Machine: scripted{outputs: []machine.Output{published{}, machine.Send{To: "peer"}}, inputs: &steps, name: "first"}}, nil)
+	l.Add(Module{Name: "second", Machine: scripted{inputs: &steps, name: "second"}}, nil)
+	l.modules[first].Output = func(machine.Now, machine.Output) { l.StepOthers(first, machine.ViewChanged{}) }
 	l.process(item{module: first, input: machine.Tick{}})
 	require.Equal(t, []string{"first", "second", "send peer"}, steps)
 }
@@ -54,11 +54,11 @@
 func TestFullInboxDropsAndCounts(t *testing.T) {
 	var steps []string
 	l := newTestLoop(&steps)
-	id := l.add(module{name: "m", machine: scripted{inputs: &steps, name: "m"}}, nil)
+	id := l.Add(Module{Name: "m", Machine: scripted{inputs: &steps, name: "m"}}, nil)
 	for range inboxSize {
-		require.True(t, l.post(id, machine.Tick{}))
+		require.True(t, l.Post(id, machine.Tick{}))
 	}
-	require.False(t, l.post(id, machine.Tick{}))
+	require.False(t, l.Post(id, machine.Tick{}))
 	require.EqualValues(t, 1, l.dropped.Count())
 }
 
@@ -67,9 +67,9 @@
 func TestResultAfterStopIsDropped(t *testing.T) {
 	var steps []string
 	l := newTestLoop(&steps)
-	id := l.add(module{name: "m", machine: scripted{inputs: &steps, name: "m"}}, nil)
+	id := l.Add(Module{Name: "m", Machine: scripted{inputs: &steps, name: "m"}}, nil)
 	for range inboxSize {
-		l.post(id, machine.Tick{})
+		l.Post(id, machine.Tick{})
 	}
 	close(l.stopped)
 	done := make(chan struct{})
--- /dev/null
+++ b/peer/datagram.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// MaxDatagramSize is the size of the largest sealed message in bytes. It fits
+// into an Ethernet frame with the headers of IP and UDP.
+const MaxDatagramSize = 1400
+
+// DatagramKeySize is the size of the key that all hosts share, in bytes.
+const DatagramKeySize = 32
+
+// DatagramConfig holds what Datagrams need.
+type DatagramConfig struct {
+	Self   fleet.Member
+	Listen netip.AddrPort
+	// Types are the messages that may be sent and received.
+	Types []machine.MessageType
+	// Receive takes each message of an authenticated peer. It must not block.
+	Receive func(from fleet.Member, m machine.Message)
+	Metrics metrics.Registry
+}
+
+// Datagrams sends short messages between hosts that share a key. Each message is
+// one UDP datagram, sealed with AES-256-GCM (NIST SP 800-38D) and bound to its
+// receiver; it may be lost, duplicated or reordered. It needs no connections, so
+// its cost does not grow with the number of hosts. It is safe for concurrent use.
+type Datagrams struct {
+	config DatagramConfig
+	codec  *Codec
+	conn   *net.UDPConn
+	seal   atomic.Pointer[cipher.AEAD]
+	peers  atomic.Pointer[map[fleet.HostID]netip.AddrPort]
+
+	rejected, oversized, failed metrics.Counter
+}
+
+// envelope is the sealed content of a datagram.
+type envelope struct {
+	_       struct{} `cbor:",toarray"`
+	From    fleet.Member
+	Message []byte
+}
+
+// ListenDatagrams binds the socket. It returns a *ListenError or a
+// *MessageError.
+func ListenDatagrams(c DatagramConfig) (*Datagrams, error) {
+	codec, err := NewCodec(c.Types)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return nil, &ListenError{Address: c.Listen.String(), Cause: err}
+	}
+	d := &Datagrams{
+		config: c, codec: codec, conn: conn,
+		rejected:  metrics.NewRegisteredCounter("peer.datagrams.rejected", c.Metrics),
+		oversized: metrics.NewRegisteredCounter("peer.datagrams.oversized", c.Metrics),
+		failed:    metrics.NewRegisteredCounter("peer.datagrams.failed", c.Metrics),
+	}
+	d.peers.Store(&map[fleet.HostID]netip.AddrPort{})
+	return d, nil
+}
+
+// KeyError reports a key of the wrong size.
+type KeyError struct {
+	Size int
+}
+
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("the shared key has %d bytes instead of %d", e.Size, DatagramKeySize)
+}
+
+// SetKey sets the shared key. Nothing is sent or received before. It returns a
+// *KeyError.
+func (d *Datagrams) SetKey(key []byte) error {
+	if len(key) != DatagramKeySize {
+		return &KeyError{Size: len(key)}
+	}
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return err
+	}
+	seal, err := cipher.NewGCM(block)
+	if err != nil {
+		return err
+	}
+	d.seal.Store(&seal)
+	return nil
+}
+
+// SetPeers replaces the addresses of the other hosts.
+func (d *Datagrams) SetPeers(peers map[fleet.HostID]netip.AddrPort) { d.peers.Store(&peers) }
+
+// Send sends a message to a host. A message that can't be sent is counted.
+func (d *Datagrams) Send(to fleet.HostID, m machine.Message) {
+	seal, address := d.seal.Load(), (*d.peers.Load())[to]
+	if seal == nil || !address.IsValid() {
+		return
+	}
+	wire, err := d.codec.Encode(m)
+	if err != nil {
+		d.failed.Inc(1)
+		return
+	}
+	plain, err := cbor.Marshal(envelope{From: d.config.Self, Message: wire})
+	if err != nil {
+		d.failed.Inc(1)
+		return
+	}
+	nonce := make([]byte, (*seal).NonceSize(), (*seal).NonceSize()+len(plain)+(*seal).Overhead())
+	_, _ = rand.Read(nonce) // crypto/rand never fails; it ends the process instead
+	sealed := (*seal).Seal(nonce, nonce, plain, []byte(to))
+	if len(sealed) > MaxDatagramSize {
+		d.oversized.Inc(1)
+		return
+	}
+	if _, err := d.conn.WriteToUDPAddrPort(sealed, address); err != nil {
+		d.failed.Inc(1)
+	}
+}
+
+// Run receives messages until Close. Datagrams that were not sealed for this
+// host are counted and dropped.
+func (d *Datagrams) Run() {
+	buffer := make([]byte, MaxDatagramSize+1)
+	for {
+		n, _, err := d.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			d.failed.Inc(1)
+			continue
+		}
+		from, m, err := d.open(buffer[:n])
+		if err != nil || from == d.config.Self {
+			d.rejected.Inc(1)
+			continue
+		}
+		d.config.Receive(from, m)
+	}
+}
+
+// errUnsealed reports a datagram that can't be opened.
+var errUnsealed = &MessageError{Reason: "datagram is not sealed for this host"}
+
+func (d *Datagrams) open(sealed []byte) (fleet.Member, machine.Message, error) {
+	seal := d.seal.Load()
+	if seal == nil || len(sealed) < (*seal).NonceSize() {
+		return fleet.Member{}, nil, errUnsealed
+	}
+	nonce, rest := sealed[:(*seal).NonceSize()], sealed[(*seal).NonceSize():]
+	plain, err := (*seal).Open(nil, nonce, rest, []byte(d.config.Self.Host))
+	if err != nil {
+		return fleet.Member{}, nil, errUnsealed
+	}
+	var e envelope
+	if err := cbor.Unmarshal(plain, &e); err != nil {
+		return fleet.Member{}, nil, &MessageError{Reason: "decode", Cause: err}
+	}
+	m, err := d.codec.Decode(e.Message)
+	return e.From, m, err
+}
+
+// Close ends Run.
+func (d *Datagrams) Close() error { return d.conn.Close() }
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -106,6 +106,7 @@
 	}
 	m := list[chosen]
 	m.inFlight++
+	p.picks++
 	return Choice{
 		Target: upstream.Target{ID: m.ID, Address: m.Address},
 		Region: region, Load: m.load, Slots: m.Slots, Rank: chosen, Cold: m.cold.closed(now),
--- a/steering/plan.go
+++ b/steering/plan.go
@@ -9,10 +9,14 @@
 )
 
 const (
-	// homeBias is how much more than its part of all slots a region serves of its
-	// own requests before it shifts them: a request of another region costs a round
-	// trip and traffic between regions.
-	homeBias = 1.25
+	// homeFill is the part of its slots up to which a region serves its own
+	// requests. Above it, queues cost more time than a round trip to another region.
+	homeFill = 0.7
+	// maxBias bounds the preference for the own region while little is known.
+	maxBias = 2
+	// minDemand is the rate of all requests, a second, below which the demand of
+	// the regions is taken to be equal.
+	minDemand = 5
 	// shiftPart is the part of the allowed change of a plan that is used, so that
 	// chance and overload have room below the bound.
 	shiftPart = 0.35
@@ -35,6 +39,10 @@
 // replan moves the plan of a service towards the present target, no faster than
 // the allowed shift between regions.
 func (t *Table) replan(now machine.Instant, p *pool) {
+	if seconds := now.Sub(p.plan.at).Seconds(); p.plan.at != 0 && seconds > 0 {
+		p.rate += rateWeight * (float64(p.picks)/seconds - p.rate)
+		p.picks = 0
+	}
 	target := t.target(p)
 	if len(target) == 0 {
 		return
@@ -82,10 +90,9 @@
 	return 0
 }
 
-// target divides the requests of this region in proportion to the free slots:
-// each region serves its own requests up to its part of all slots, and what is
-// more goes to the regions that have room left. All regions are taken to have
-// equal demand.
+// target divides the requests of this region over the regions that have room.
+// Each region serves its own requests up to its bound, and what is more goes to
+// the regions below theirs.
 func (t *Table) target(p *pool) []part {
 	slots := make(map[fleet.Region]float64)
 	total := 0.0
@@ -104,14 +111,18 @@
 	}
 	slices.Sort(regions)
 	own := t.config.Location.Region
-	demand := 1 / float64(max(len(regions), len(HostsIn(t.hosts))))
+	demand := t.demandShares(slots)
+	bias := p.bias(t.serviceDemand(p), total)
 	spare := make(map[fleet.Region]float64, len(regions))
 	free := 0.0
 	for _, r := range regions {
-		spare[r] = max(0, slots[r]/total-demand)
+		spare[r] = max(0, bias*slots[r]/total-demand[r])
 		free += spare[r]
 	}
-	home := min(1, homeBias*slots[own]/total/demand)
+	home := 1.0
+	if demand[own] > 0 {
+		home = min(1, bias*slots[own]/total/demand[own])
+	}
 	if free == 0 {
 		home = 1
 	}
@@ -123,3 +134,53 @@
 	}
 	return parts
 }
+
+// bias is how much more than its part of all slots a region may serve: as much
+// as brings its slots to homeFill, and nothing when all slots are needed.
+func (p *pool) bias(demand, slots float64) float64 {
+	fill := demand * p.work / slots
+	if fill <= 0 {
+		return maxBias
+	}
+	return max(1, min(maxBias, homeFill/fill))
+}
+
+// serviceDemand returns the rate of requests for a service over all regions. The
+// services have the same part of the requests on all hosts.
+func (t *Table) serviceDemand(p *pool) float64 {
+	all, own := 0.0, 0.0
+	for _, d := range t.demand {
+		all += d
+	}
+	for _, other := range t.services {
+		own += other.rate
+	}
+	if own == 0 {
+		return 0
+	}
+	return all * p.rate / own
+}
+
+// demandShares returns each region's part of all requests. Regions have the same
+// part until it is known.
+func (t *Table) demandShares(slots map[fleet.Region]float64) map[fleet.Region]float64 {
+	shares := make(map[fleet.Region]float64)
+	all := 0.0
+	for _, d := range t.demand {
+		all += d
+	}
+	if all < minDemand {
+		regions := HostsIn(t.hosts)
+		for r := range slots {
+			regions[r]++
+		}
+		for r := range regions {
+			shares[r] = 1 / float64(len(regions))
+		}
+		return shares
+	}
+	for r, d := range t.demand {
+		shares[r] = d / all
+	}
+	return shares
+}
--- a/steering/table.go
+++ b/steering/table.go
@@ -80,6 +80,8 @@
 	evacuated map[fleet.FailureDomain]bool
 	hosts     []catalog.Host
 	warmup    map[fleet.Pool]Warmup
+	// demand is the rate of requests that arrive in each region.
+	demand map[fleet.Region]float64
 	// listed is true after the first list. Upstreams that appear later are cold.
 	listed bool
 }
@@ -96,8 +98,22 @@
 	name    fleet.Pool
 	members []*member
 	plan    plan
+	// work is the running mean of the time that an upstream takes to answer, in
+	// seconds; 0 before the first answer.
+	work float64
+	// picks counts requests since the last plan, rate is their running rate a
+	// second.
+	picks int
+	rate  float64
 }
 
+const (
+	// workWeight is the part of one answer in the running mean of the work.
+	workWeight = 0.05
+	// rateWeight is the part of one planning round in the running rate.
+	rateWeight = 0.1
+)
+
 // New returns a table without upstreams.
 func New(c Config) *Table {
 	return &Table{
@@ -227,6 +243,13 @@
 	t.warmup = w
 }
 
+// SetDemand replaces the rates of requests that arrive in each region.
+func (t *Table) SetDemand(demand map[fleet.Region]float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.demand = demand
+}
+
 // index rebuilds the pools of the services and keeps their plans.
 func (t *Table) index() {
 	old := t.services
@@ -236,7 +259,7 @@
 		if p == nil {
 			p = &pool{name: m.Service}
 			if before := old[m.Service]; before != nil {
-				p.plan = before.plan
+				p.plan, p.work, p.rate, p.picks = before.plan, before.work, before.rate, before.picks
 			}
 			t.services[m.Service] = p
 		}
@@ -274,6 +297,7 @@
 	}
 	switch r.Outcome {
 	case upstream.Answered:
+		t.services[m.Service].worked(r.Took)
 		m.note(now, r.Response.Status >= 500)
 		if m.failures > 0 {
 			m.failures = 0
@@ -307,6 +331,13 @@
 	return ""
 }
 
+func (p *pool) worked(took time.Duration) {
+	if p.work == 0 {
+		p.work = took.Seconds()
+	}
+	p.work += workWeight * (took.Seconds() - p.work)
+}
+
 func (m *member) note(now machine.Instant, failed bool) {
 	rate := m.grayRate(now) * (1 - grayWeight)
 	if failed {
