--- a/edge/control.go
+++ b/edge/control.go
@@ -131,7 +131,10 @@
 	}
 	e.datagrams.SetPeers(addresses)
 	e.loop.Forward(e.modules.limits, machine.ViewChanged{View: e.view(changed.Peers)})
-	e.log.Info().Int("hosts", len(changed.Peers)).Int("serving", alive).Msg("entry hosts changed")
+	if alive != e.serving {
+		e.serving = alive
+		e.log.Info().Int("hosts", len(changed.Peers)).Int("serving", alive).Msg("serving hosts changed")
+	}
 }
 
 func demandOf(peers []gossip.Peer) map[fleet.Region]float64 {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,6 +96,8 @@
 	modules   moduleIDs
 	datagrams *peer.Datagrams
 	arrivals  arrivals
+	// serving is the number of hosts that serve; the control loop owns it.
+	serving int
 
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil before the first list.
--- a/steering/plan.go
+++ b/steering/plan.go
@@ -12,11 +12,18 @@
 	// homeFill is the part of its slots up to which a region serves its own
 	// requests. Above it, queues cost more time than a round trip to another region.
 	homeFill = 0.7
-	// maxBias bounds the preference for the own region while little is known.
+	// maxBias bounds the preference for the own region. While the work of a service
+	// is unknown there is none, because a plan that overloads a small region is
+	// corrected only slowly.
 	maxBias = 2
 	// minDemand is the rate of all requests, a second, below which the demand of
 	// the regions is taken to be equal.
 	minDemand = 5
+	// minRate is the rate of this host's requests for a service, a second, below
+	// which its plan may change at once: nothing is shifted by it. Upstreams that
+	// register one after the other at the start must not leave a plan that takes
+	// seconds to correct.
+	minRate = 0.2
 	// shiftPart is the part of the allowed change of a plan that is used, so that
 	// chance and overload have room below the bound.
 	shiftPart = 0.35
@@ -47,7 +54,7 @@
 	if len(target) == 0 {
 		return
 	}
-	if len(p.plan.parts) == 0 {
+	if len(p.plan.parts) == 0 || p.rate < minRate {
 		p.plan = plan{parts: target, at: now}
 		return
 	}
@@ -140,7 +147,7 @@
 func (p *pool) bias(demand, slots float64) float64 {
 	fill := demand * p.work / slots
 	if fill <= 0 {
-		return maxBias
+		return 1
 	}
 	return max(1, min(maxBias, homeFill/fill))
 }
