Notice changes that every watch missed: two hosts watch shortly, gossip tells revisions

A store that drops its history leaves waiting watches without an answer, so all hosts missed an evacuation and a configuration for their whole wait (25 s).

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// watchWait is how long a watch waits at the store. Long waits save calls; a
-	// connection that went silent is found by keep-alive probes.
-	watchWait = 25 * time.Second
+	// LongWait is how long a watch of most hosts waits at the store. Long waits save
+	// calls. A store that drops its history may leave a watch without an answer; the
+	// host then learns from a peer that it misses something, see Options.Relist.
+	LongWait = 25 * time.Second
+	// ShortWait is how long a watch of the hosts that look after all others waits. A
+	// missed change is noticed after it and two rounds of gossip, together less than
+	// the tightest bound on a missed change (5 s).
+	ShortWait = 2 * time.Second
 	// coalesce is the pause after a change before the next watch, so that a burst
 	// of changes costs one call. It is a tenth of the tightest time bound on a
 	// change (2.5 s).
@@ -24,6 +29,8 @@
 // Change is a new state of one object, or its removal.
 type Change[T any] struct {
 	Name string
+	// Revision is the store revision of the change, or a later one.
+	Revision uint64
 	// Item is valid unless Removed is true.
 	Item T
 	// Removed objects are gone, or their content names nothing that can be used.
@@ -71,10 +78,20 @@
 	Regained func()
 }
 
-// Follow keeps its observer up to date until the context ends. relist, which may
-// be nil, asks for a list at once, for instance because a peer knows more.
-func Follow[T any](ctx context.Context, source Source[T], relist <-chan struct{}, o Observer[T]) {
-	f := follower[T]{source: source, observer: o, relist: relist}
+// Options say how a kind is followed.
+type Options struct {
+	// Relist asks for a list at once, because a peer knows more.
+	Relist <-chan struct{}
+	// Wait returns how long the next watch waits.
+	Wait func() time.Duration
+	// Progress takes the revision up to which the copy is complete, and that of the
+	// last change.
+	Progress func(complete, changed uint64)
+}
+
+// Follow keeps its observer up to date until the context ends.
+func Follow[T any](ctx context.Context, source Source[T], options Options, o Observer[T]) {
+	f := follower[T]{source: source, observer: o, options: options}
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
@@ -83,9 +100,10 @@
 type follower[T any] struct {
 	source   Source[T]
 	observer Observer[T]
-	relist   <-chan struct{}
+	options  Options
 
 	listed   bool
+	changed  uint64
 	revision uint64
 	failures int
 }
@@ -106,35 +124,26 @@
 	}
 	outage := f.failures > 0
 	f.succeeded()
-	f.listed, f.revision = true, state.Revision
+	f.listed, f.revision = true, max(f.revision, state.Revision)
 	f.observer.Apply(Update[T]{Complete: true, Changes: state.Changes, Revision: state.Revision, AfterOutage: outage})
+	f.progress(state.Changes)
+}
+
+func (f *follower[T]) progress(changes []Change[T]) {
+	for _, c := range changes {
+		f.changed = max(f.changed, c.Revision)
+	}
+	f.options.Progress(f.revision, f.changed)
 }
 
 func (f *follower[T]) watch(ctx context.Context) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	asked := false
-	if f.relist != nil {
-		stop := make(chan struct{})
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			select {
-			case <-f.relist:
-				asked = true
-				cancel()
-			case <-stop:
-			}
-		}()
-		defer func() {
-			close(stop)
-			<-done
-			if asked {
-				f.listed = false
-			}
-		}()
+	stop := f.cancelOnRelist(cancel)
+	state, err := f.source.Watch(watching, f.revision, f.options.Wait())
+	if stop() {
+		f.listed = false
 	}
-	state, err := f.source.Watch(watching, f.revision, watchWait)
 	var compacted *CompactedError
 	switch {
 	case errors.As(err, &compacted):
@@ -149,11 +158,33 @@
 		f.revision = max(f.revision, state.Revision)
 		if len(state.Changes) > 0 {
 			f.observer.Apply(Update[T]{Changes: state.Changes, Revision: state.Revision})
+		}
+		f.progress(state.Changes)
+		if len(state.Changes) > 0 {
 			pause(ctx, coalesce)
 		}
 	}
 }
 
+// cancelOnRelist cancels a watch when a list is asked for. The returned function
+// ends that and reports whether it happened.
+func (f *follower[T]) cancelOnRelist(cancel context.CancelFunc) func() bool {
+	stop, asked := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.options.Relist:
+			cancel()
+			asked <- true
+		case <-stop:
+			asked <- false
+		}
+	}()
+	return func() bool {
+		close(stop)
+		return <-asked
+	}
+}
+
 func (f *follower[T]) succeeded() {
 	if f.failures > 0 {
 		f.observer.Regained()
--- a/edge/control.go
+++ b/edge/control.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -108,7 +109,12 @@
 }
 
 func (e *Edge) tellSelf() {
-	e.loop.Forward(e.modules.gossip, gossip.SetSelf{Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now())})
+	self := gossip.SetSelf{Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now())}
+	for i := range e.progress {
+		self.Revisions = append(self.Revisions, e.progress[i].changed.Load())
+	}
+	e.loop.Forward(e.modules.gossip, self)
+	e.lookBehind(e.known)
 }
 
 func (e *Edge) gossipOutput(_ machine.Now, out machine.Output) {
@@ -117,6 +123,8 @@
 		return
 	}
 	e.peers.Store(&changed.Peers)
+	e.known = changed.Revisions
+	e.reader.Store(e.reads(changed.Peers))
 	e.steering.SetDemand(demandOf(changed.Peers))
 	if !changed.Membership {
 		return
@@ -137,6 +145,29 @@
 	}
 }
 
+// readers is the number of hosts whose watches wait shortly. Two are enough for
+// one to be there after the loss of a region.
+const readers = 2
+
+// reads reports whether this host is one of the readers: the first host by name
+// that serves in each of the first regions by name.
+func (e *Edge) reads(peers []gossip.Peer) bool {
+	var regions []fleet.Region
+	for _, p := range peers {
+		if !p.Alive || p.Leaving || slices.Contains(regions, p.Location.Region) {
+			continue
+		}
+		regions = append(regions, p.Location.Region)
+		if p.ID == e.Settings.ID {
+			return true
+		}
+		if len(regions) == readers {
+			return false
+		}
+	}
+	return false
+}
+
 func demandOf(peers []gossip.Peer) map[fleet.Region]float64 {
 	demand := make(map[fleet.Region]float64)
 	for _, p := range peers {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -98,6 +98,13 @@
 	arrivals  arrivals
 	// serving is the number of hosts that serve; the control loop owns it.
 	serving int
+	// known are the highest revisions that any host has told; the control loop owns
+	// it.
+	known []uint64
+	// progress has the copies by kind, reader is true on a host whose watches wait
+	// shortly.
+	progress [kinds]progress
+	reader   atomic.Bool
 
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil before the first list.
@@ -134,6 +141,9 @@
 		registry: metrics.NewRegistry(),
 		upstream: upstream.NewClient(o.Codec),
 	}
+	for i := range e.progress {
+		e.progress[i].relist = make(chan struct{}, 1)
+	}
 	e.server = ingress.New(ingress.Config{
 		Handler:        e.handle,
 		Limits:         e.callerLimits,
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -19,10 +20,10 @@
 
 // follow keeps local copies of what the store holds.
 func (e *Edge) follow(ctx context.Context, group *conc.WaitGroup) {
-	followKind(ctx, group, e, "configuration", e.Store.Configurations(), e.applyConfiguration)
-	followKind(ctx, group, e, "upstreams", e.Store.Upstreams(e.Settings.Domains), e.applyUpstreams)
+	followKind(ctx, group, e, kindConfiguration, e.Store.Configurations(), e.applyConfiguration)
+	followKind(ctx, group, e, kindUpstreams, e.Store.Upstreams(e.Settings.Domains), e.applyUpstreams)
 	evacuated := members[catalog.Evacuation]{}
-	followKind(ctx, group, e, "evacuations", e.Store.Evacuations(), func(u catalog.Update[catalog.Evacuation]) {
+	followKind(ctx, group, e, kindEvacuations, e.Store.Evacuations(), func(u catalog.Update[catalog.Evacuation]) {
 		evacuated.apply(u)
 		domains := make([]fleet.FailureDomain, 0, len(evacuated))
 		for _, evacuation := range evacuated {
@@ -32,19 +33,82 @@
 		e.log.Info().Any("domains", domains).Uint64("store", u.Revision).Msg("evacuations changed")
 	})
 	hosts := members[catalog.Host]{}
-	followKind(ctx, group, e, "hosts", e.Store.Hosts(), func(u catalog.Update[catalog.Host]) {
+	followKind(ctx, group, e, kindHosts, e.Store.Hosts(), func(u catalog.Update[catalog.Host]) {
 		hosts.apply(u)
 		e.applyHosts(hosts, u.Revision)
 	})
 }
 
-func followKind[T any](ctx context.Context, group *conc.WaitGroup, e *Edge, kind string, s catalog.Source[T], apply func(catalog.Update[T])) {
+// kind is one of the kinds of objects that a host follows. Its number is the place
+// in the revisions that hosts tell each other.
+type kind int
+
+const (
+	kindConfiguration kind = iota
+	kindUpstreams
+	kindEvacuations
+	kindHosts
+	kinds
+)
+
+func (k kind) String() string {
+	return [...]string{"configuration", "upstreams", "evacuations", "hosts"}[k]
+}
+
+// progress is how far the copy of a kind has come.
+type progress struct {
+	// complete is the revision up to which the copy is complete, changed that of
+	// the last change.
+	complete, changed atomic.Uint64
+	relist            chan struct{}
+	// behind is true if a peer knew of a later change at the last look. The control
+	// loop owns it.
+	behind bool
+}
+
+// lookBehind asks for a list of each kind of which a peer has known a later
+// change for a second. The watch should have told it by then.
+func (e *Edge) lookBehind(known []uint64) {
+	for i := range min(len(known), len(e.progress)) {
+		p := &e.progress[i]
+		behind := known[i] > p.complete.Load()
+		if behind && p.behind {
+			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", known[i]).Msg("a peer knows a later change")
+			select {
+			case p.relist <- struct{}{}:
+			default:
+			}
+			behind = false
+		}
+		p.behind = behind
+	}
+}
+
+// watchWait returns how long this host's watches wait: shortly on the few hosts
+// that look after changes that all watches missed.
+func (e *Edge) watchWait(k kind) time.Duration {
+	if k != kindHosts && e.reader.Load() {
+		return catalog.ShortWait
+	}
+	return catalog.LongWait
+}
+
+func followKind[T any](ctx context.Context, group *conc.WaitGroup, e *Edge, k kind, s catalog.Source[T], apply func(catalog.Update[T])) {
 	observer := catalog.Observer[T]{
 		Apply:    apply,
-		Lost:     func(err error) { e.log.Warn().Str("kind", kind).Err(err).Msg("store is not reachable") },
-		Regained: func() { e.log.Info().Str("kind", kind).Msg("store is reachable again") },
+		Lost:     func(err error) { e.log.Warn().Stringer("kind", k).Err(err).Msg("store is not reachable") },
+		Regained: func() { e.log.Info().Stringer("kind", k).Msg("store is reachable again") },
+	}
+	p := &e.progress[k]
+	options := catalog.Options{
+		Relist: p.relist,
+		Wait:   func() time.Duration { return e.watchWait(k) },
+		Progress: func(complete, changed uint64) {
+			p.complete.Store(complete)
+			p.changed.Store(changed)
+		},
 	}
-	group.Go(func() { catalog.Follow(ctx, s, nil, observer) })
+	group.Go(func() { catalog.Follow(ctx, s, options, observer) })
 }
 
 // members is a copy of all objects of a kind.
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -21,6 +21,8 @@
 	deadAfter = 4500 * time.Millisecond
 	// maxEntries bounds a message; the hosts heard of last go first.
 	maxEntries = 40
+	// maxKinds bounds the revisions of a message.
+	maxKinds = 16
 )
 
 // numberDigest is of the range 750 to 799.
@@ -49,6 +51,9 @@
 type Digest struct {
 	_       struct{} `cbor:",toarray"`
 	Entries []Entry
+	// Revisions are the store revisions of the last changes that any host has seen,
+	// in the order of the kinds that the host follows.
+	Revisions []uint64
 }
 
 // MessageNumber returns 750.
@@ -67,6 +72,8 @@
 	Leaving bool
 	// Rate is in requests a second.
 	Rate float64
+	// Revisions are those of the last changes that this host has seen.
+	Revisions []uint64
 }
 
 // MachineInput marks SetSelf as an input.
@@ -87,6 +94,8 @@
 // including this one, sorted by id.
 type Changed struct {
 	Peers []Peer
+	// Revisions are the highest that any host has told.
+	Revisions []uint64
 	// Membership is true if more than a rate has changed.
 	Membership bool
 }
@@ -109,11 +118,13 @@
 	own      Entry
 	location fleet.Location
 	hosts    map[uint64]*known
-	near     []uint64
-	far      []uint64
-	round    int
-	next     machine.Instant
-	out      []machine.Output
+	// revisions are the highest that are known.
+	revisions []uint64
+	near      []uint64
+	far       []uint64
+	round     int
+	next      machine.Instant
+	out       []machine.Output
 }
 
 var _ machine.Machine = (*Machine)(nil)
@@ -153,11 +164,12 @@
 	case SetHosts:
 		m.setHosts(at, in.Hosts)
 	case SetSelf:
+		newer := m.adopt(in.Revisions)
 		leaving := in.Leaving != m.own.Leaving
 		m.own.Leaving = in.Leaving
 		m.own.Rate = uint32(in.Rate * 10)
-		if leaving {
-			// Peers must stop naming this host at once.
+		if leaving || newer {
+			// Peers must stop naming this host at once, and read what changed.
 			m.tellAll(at)
 		}
 	}
@@ -225,13 +237,13 @@
 func (m *Machine) tellAll(now machine.Instant) {
 	for _, list := range [][]uint64{m.near, m.far} {
 		for _, id := range list[:min(len(list), maxEntries)] {
-			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}}})
+			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}, Revisions: m.revisions}})
 		}
 	}
 }
 
 func (m *Machine) digest(now machine.Instant) Digest {
-	d := Digest{Entries: []Entry{m.own}}
+	d := Digest{Entries: []Entry{m.own}, Revisions: m.revisions}
 	for id, k := range m.hosts {
 		if id == m.own.Host || !k.alive || k.incarnation == 0 {
 			continue
@@ -255,7 +267,7 @@
 }
 
 func (m *Machine) receive(now machine.Instant, from fleet.Member, d Digest) {
-	changed := false
+	changed := m.adopt(d.Revisions)
 	for _, e := range d.Entries {
 		k := m.hosts[e.Host]
 		if k == nil || e.Host == m.own.Host {
@@ -274,8 +286,23 @@
 	}
 }
 
+// adopt takes higher revisions and reports whether there were any.
+func (m *Machine) adopt(revisions []uint64) bool {
+	newer := false
+	for i, r := range revisions[:min(len(revisions), maxKinds)] {
+		if i == len(m.revisions) {
+			m.revisions = append(m.revisions, 0)
+		}
+		if r > m.revisions[i] {
+			m.revisions[i] = r
+			newer = true
+		}
+	}
+	return newer
+}
+
 func (m *Machine) publish(membership bool) {
-	c := Changed{Membership: membership}
+	c := Changed{Membership: membership, Revisions: slices.Clone(m.revisions)}
 	for id, k := range m.hosts {
 		p := Peer{Host: k.Host, Alive: k.alive, Leaving: k.leaving}
 		if id == m.own.Host {
