Let a successor take its predecessor's share after 300 ms

After all processes were replaced, every host waited 2.24 s for its share, as if live borrowers could still hold loans of it; requests were refused meanwhile.

--- a/edge/control.go
+++ b/edge/control.go
@@ -83,6 +83,7 @@
 			err = e.datagrams.SetKey(key)
 		}
 		if err == nil {
+			e.loop.Post(e.modules.gossip, gossip.Announce{})
 			return
 		}
 		e.log.Warn().Err(err).Msg("shared key is not available")
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/gossip"
+	"github.com/catkinspring/catkinspring/limits"
 	"github.com/catkinspring/catkinspring/policy"
 	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
@@ -177,6 +179,11 @@
 	for _, h := range all {
 		list = append(list, h)
 	}
+	if e.hosts.Load() == nil && slices.Contains(list, e.self()) {
+		// An earlier process was registered at this address. It is dead, because the
+		// platform runs one process at a time on a machine.
+		e.loop.Post(e.modules.limits, limits.Succession{})
+	}
 	e.hosts.Store(&list)
 	e.steering.SetHosts(list)
 	e.budget.SetHosts(len(list))
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -84,6 +84,12 @@
 // MachineInput marks SetSelf as an input.
 func (SetSelf) MachineInput() {}
 
+// Announce asks to tell all hosts of this incarnation.
+type Announce struct{}
+
+// MachineInput marks Announce as an input.
+func (Announce) MachineInput() {}
+
 // Peer is what is known of one entry host.
 type Peer struct {
 	catalog.Host
@@ -167,6 +173,8 @@
 		}
 	case SetHosts:
 		m.setHosts(at, in.Hosts)
+	case Announce:
+		m.tellAll(at)
 	case SetSelf:
 		newer := m.adopt(in.Revisions)
 		leaving := in.Leaving != m.own.Leaving
@@ -202,7 +210,11 @@
 	}
 	slices.Sort(m.near)
 	slices.Sort(m.far)
+	first := len(m.hosts) == 0
 	m.hosts = next
+	if first {
+		m.tellAll(now)
+	}
 	m.publish(true)
 }
 
--- a/gossip/machine_test.go
+++ b/gossip/machine_test.go
@@ -56,7 +56,7 @@
 		switch out := out.(type) {
 		case machine.Send:
 			r.sent++
-			if !r.down[out.To] && r.random.Float64() >= r.loss {
+			if r.machines[out.To] != nil && !r.down[out.To] && r.random.Float64() >= r.loss {
 				r.step(out.To, machine.Received{From: r.machines[id].self, Message: out.Message})
 			}
 		case Changed:
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -66,6 +66,9 @@
 type headerLimit struct {
 	source io.Reader
 	left   int64
+	// err is the error of the last read. The parser reports a line that was cut by
+	// it as malformed.
+	err error
 }
 
 // HeaderTooLargeError reports a header above the limit.
@@ -75,13 +78,15 @@
 
 func (l *headerLimit) Read(p []byte) (int, error) {
 	if l.left <= 0 {
-		return 0, &HeaderTooLargeError{}
+		l.err = &HeaderTooLargeError{}
+		return 0, l.err
 	}
 	if int64(len(p)) > l.left {
 		p = p[:l.left]
 	}
 	n, err := l.source.Read(p)
 	l.left -= int64(n)
+	l.err = err
 	return n, err
 }
 
@@ -162,6 +167,7 @@
 	var large *HeaderTooLargeError
 	var body *http.MaxBytesError
 	var bad *badRequestError
+	var slow *slowRequestError
 	var network net.Error
 	switch {
 	case errors.As(err, &large):
@@ -170,9 +176,10 @@
 		c.refusal(http.StatusRequestEntityTooLarge)
 	case errors.As(err, &bad):
 		c.refusal(http.StatusBadRequest)
+	case errors.As(err, &slow):
+		c.refusal(http.StatusRequestTimeout)
 	case errors.As(err, &network) && network.Timeout():
-		// An idle connection, or a request that did not arrive in time. Requests that
-		// were read before are still answered.
+		// An idle connection. Requests that were read before are still answered.
 	default:
 		c.cancel()
 	}
@@ -216,7 +223,7 @@
 	}
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, false, classify(err)
+		return nil, false, c.classify(err)
 	}
 	body, err := c.readBody(parsed, orDefault(limits.BodyBytes, defaultBodyBytes))
 	if err != nil {
@@ -225,16 +232,23 @@
 	return &Request{Request: parsed, Body: body, Received: received}, parsed.Close, nil
 }
 
-// classify tells a malformed request from a connection that ended.
-func classify(err error) error {
-	var large *HeaderTooLargeError
+// classify tells a malformed request from one that did not arrive whole.
+func (c *conn) classify(err error) error {
 	var network net.Error
-	if errors.As(err, &large) || errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		return err
+	switch {
+	case errors.As(c.limit.err, &network) && network.Timeout():
+		return &slowRequestError{}
+	case c.limit.err != nil:
+		return c.limit.err
 	}
 	return &badRequestError{cause: err}
 }
 
+// slowRequestError reports a request that did not arrive in time.
+type slowRequestError struct{}
+
+func (*slowRequestError) Error() string { return "the request did not arrive in time" }
+
 func (c *conn) readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -253,7 +267,7 @@
 	c.limit.left = limit + readBuffer
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, classify(err)
+		return nil, c.classify(err)
 	}
 	if int64(len(body)) > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -19,6 +19,11 @@
 	// The hosts whose part shrank lend from the smaller part at once, but loans
 	// of the larger one may run until then.
 	growthDelay = LoanDuration + 2*(LoanDuration/100+100*time.Millisecond)
+	// successionDelay is the time after which a successor takes its predecessor's
+	// share: the predecessor's borrowers hear of the new incarnation within it, one
+	// way between regions (110 ms) and one repeat, and drop its loans. A borrower
+	// that does not hear of it keeps a loan for at most LoanDuration.
+	successionDelay = 300 * time.Millisecond
 	// adjustInterval is the time between two looks at forecasts and loans.
 	adjustInterval = 50 * time.Millisecond
 )
@@ -54,6 +59,13 @@
 // MachineInput marks SetCustomers as an input.
 func (SetCustomers) MachineInput() {}
 
+// Succession says that the share of the next view belonged to an earlier process
+// of the same host, which is certainly dead. It must come before that view.
+type Succession struct{}
+
+// MachineInput marks Succession as an input.
+func (Succession) MachineInput() {}
+
 // growth is a larger base share and the time at which it takes effect.
 type growth struct {
 	to int64
@@ -66,6 +78,7 @@
 
 	view       *fleet.View
 	leaving    bool
+	successor  bool
 	leaseUntil machine.Instant
 	revision   fleet.Revision
 
@@ -144,6 +157,8 @@
 		m.shares.SetLease(in.ValidUntil)
 	case SetCustomers:
 		m.setCustomers(at, in)
+	case Succession:
+		m.successor = true
 	}
 	m.flush(at)
 	return m.out
@@ -289,6 +304,7 @@
 		leaving = self.State == fleet.StateLeaving
 	}
 	m.setWeight(now, weight)
+	m.dropLoansOfTheDead()
 	if leaving && !m.leaving {
 		for _, a := range m.accounts {
 			m.returnAll(a)
@@ -306,7 +322,26 @@
 		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
 	}
 	if weight > m.pendingWeight() {
-		m.growths = append(m.growths, growth{to: weight, at: now.Add(growthDelay)})
+		delay := growthDelay
+		if m.successor {
+			delay, m.successor = successionDelay, false
+		}
+		m.growths = append(m.growths, growth{to: weight, at: now.Add(delay)})
+	}
+}
+
+// dropLoansOfTheDead ends loans whose lender runs as another incarnation now: its
+// successor holds the units again. Loans that were lent on run out.
+func (m *Machine) dropLoansOfTheDead() {
+	for _, a := range m.accounts {
+		a.borrowed = slices.DeleteFunc(a.borrowed, func(l borrowedLoan) bool {
+			peer := m.view.Find(l.key.Lender.Host)
+			if l.lentOn > 0 || peer == nil || peer.Incarnation.IsZero() || peer.Member == l.key.Lender {
+				return false
+			}
+			m.shares.DropLoan(a.id, l.key)
+			return true
+		})
 	}
 }
 
--- a/limits/machine_test.go
+++ b/limits/machine_test.go
@@ -246,3 +246,27 @@
 	require.NoError(t, cbor.Unmarshal(encoded, pointer))
 	require.Equal(t, grant, Messages()[1].Value(pointer))
 }
+
+// Guards against a fleet that refuses everything for the time of a loan after all
+// of its processes were replaced: a successor takes the share at once, without
+// tokens, and borrowers drop the loans of its predecessor.
+func TestSuccessorTakesTheShareOfThePredecessor(t *testing.T) {
+	p := newPair(t, 10, 100)
+	p.exchange()
+	p.deliver(p.lend(t, fleet.TotalWeight/10))
+	require.InDelta(t, 60, p.tables[0].Holding("c").Burst, 0.01)
+
+	p.members[1].Incarnation = fleet.Incarnation{9}
+	p.tables[1] = NewTable(p.clock, func(machine.Input) {})
+	p.machines[1] = NewMachine(p.tables[1])
+	p.step(1, machine.LeaseChanged{ValidUntil: p.clock.at.Add(time.Hour)})
+	p.step(1, SetCustomers{Revision: 1, Customers: []CustomerLimit{{ID: "c", Rate: 10, Burst: 100}}})
+	p.step(1, Succession{})
+	p.step(1, p.view(1, fleet.TotalWeight/2))
+	p.step(0, p.view(0, fleet.TotalWeight/2))
+	require.InDelta(t, 50, p.tables[0].Holding("c").Burst, 0.01, "the loan of the dead lender is dropped")
+	require.Zero(t, p.tables[1].Holding("c").Burst)
+	p.run(successionDelay + 100*time.Millisecond)
+	require.InDelta(t, 50, p.tables[1].Holding("c").Burst, 0.01)
+	require.LessOrEqual(t, p.tables[1].Holding("c").Tokens, 1.0, "a successor starts without tokens")
+}
