--- a/cmd/catkinspring/edge.go
+++ b/cmd/catkinspring/edge.go
@@ -4,11 +4,13 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
 	"github.com/catkinspring/catkinspring/edge"
+	"github.com/catkinspring/catkinspring/logsink"
 	"github.com/catkinspring/catkinspring/platform"
 )
 
@@ -27,20 +29,45 @@
 		return err
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(os.Stdout).With().Timestamp().Str("host", string(settings.ID)).Logger()
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	log := zerolog.New(sink).With().Timestamp().Str("host", string(settings.ID)).Logger()
 	e, err := edge.New(edge.Options{
 		Settings: settings,
 		Store:    platform.NewStore(settings.Store),
 		Codec:    platform.Headers{},
 		Paths:    edge.Paths{Ready: platform.PathReady, Directory: platform.PathResolve},
 		Logger:   log,
+		Lines:    sink,
 	})
 	if err != nil {
 		return err
 	}
 	stop, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer end()
-	signal.Ignore(syscall.SIGHUP)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			reloadSettings(log, file, settings)
+		}
+	}()
 	e.Run(stop)
 	return nil
 }
+
+// reloadSettings says what a changed settings file means. Everything in it is
+// fixed for the life of a process: its addresses, place and bounds. The process
+// goes on with what it has, so that no request is cut, and a restart takes the
+// changes.
+func reloadSettings(log zerolog.Logger, file string, inForce edge.Settings) {
+	next, err := platform.LoadSettings(file)
+	switch {
+	case err != nil:
+		log.Error().Err(err).Msg("changed settings file is not valid; the present settings stay")
+	case reflect.DeepEqual(next, inForce):
+		log.Info().Msg("settings were read again; nothing has changed")
+	default:
+		log.Warn().Any("next", next).Msg("settings have changed; they take effect at the next start")
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -56,7 +56,7 @@
 	prober  *prober
 	budget  *budget
 	gate    gate
-	flights flights
+	flights Flights
 	buffers buffers
 	metrics *counters
 }
@@ -268,11 +268,11 @@
 // was written. If the upstream refuses new connections, the requests in flight
 // there are suspected of having crashed it.
 func (d *Dispatcher) brokenResult(e *exchange) traffic.Result {
-	flight := d.flights.of(e.target.Name)
-	flight.broke(e.request.Fingerprint, time.Now())
+	flight := d.flights.Of(e.target.Name)
+	flight.Broke(e.request.Fingerprint, time.Now())
 	switch d.prober.probe(e.target.Address) {
 	case probeRefused:
-		suspects := flight.suspects(time.Now())
+		suspects := flight.Suspects(time.Now())
 		d.report(Suspected{Upstream: e.target.Name, Fingerprints: suspects, Alone: len(suspects) == 1})
 		return traffic.ResultCrashSuspected
 	case probeWorks:
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -111,9 +111,9 @@
 	if err := e.request.LastCheck(); err != nil {
 		return outcome{result: traffic.ResultUnused, refused: err}
 	}
-	flight := e.d.flights.of(e.target.Name)
-	flight.enter(e.request.Fingerprint)
-	defer flight.leave(e.request.Fingerprint)
+	flight := e.d.flights.Of(e.target.Name)
+	flight.Enter(e.request.Fingerprint)
+	defer flight.Leave(e.request.Fingerprint)
 	if err := e.write(c, head.B, body); err != nil {
 		return e.writeFailed(c, err)
 	}
--- a/dispatch/flights.go
+++ b/dispatch/flights.go
@@ -12,12 +12,13 @@
 // one crash. A crash breaks all of them within a round trip.
 const crashWindow = 2 * time.Second
 
-// flights knows the fingerprints of the requests in flight at each upstream.
-type flights struct {
-	upstreams sync.Map // fleet.Upstream to *flight
+// Flights knows the fingerprints of the requests in flight at each upstream.
+type Flights struct {
+	upstreams sync.Map // fleet.Upstream to *Flight
 }
 
-type flight struct {
+// Flight knows the fingerprints in flight at one upstream.
+type Flight struct {
 	mu     sync.Mutex
 	active map[uint64]int
 	broken []brokenRequest
@@ -28,23 +29,24 @@
 	at          time.Time
 }
 
-func (f *flights) of(upstream fleet.Upstream) *flight {
+// Of returns what is in flight at an upstream.
+func (f *Flights) Of(upstream fleet.Upstream) *Flight {
 	if found, ok := f.upstreams.Load(upstream); ok {
-		return found.(*flight)
+		return found.(*Flight)
 	}
-	made, _ := f.upstreams.LoadOrStore(upstream, &flight{active: map[uint64]int{}})
-	return made.(*flight)
+	made, _ := f.upstreams.LoadOrStore(upstream, &Flight{active: map[uint64]int{}})
+	return made.(*Flight)
 }
 
-// enter notes a request that is about to be written.
-func (f *flight) enter(fingerprint uint64) {
+// Enter notes a request that is about to be written.
+func (f *Flight) Enter(fingerprint uint64) {
 	f.mu.Lock()
 	f.active[fingerprint]++
 	f.mu.Unlock()
 }
 
-// leave notes the end of the exchange.
-func (f *flight) leave(fingerprint uint64) {
+// Leave notes the end of the exchange.
+func (f *Flight) Leave(fingerprint uint64) {
 	f.mu.Lock()
 	if f.active[fingerprint]--; f.active[fingerprint] <= 0 {
 		delete(f.active, fingerprint)
@@ -52,17 +54,17 @@
 	f.mu.Unlock()
 }
 
-// broke notes that the connection of a request ended in the exchange. It is
+// Broke notes that the connection of a request ended in the exchange. It is
 // kept for crashWindow, so that the others in flight don't look alone later.
-func (f *flight) broke(fingerprint uint64, now time.Time) {
+func (f *Flight) Broke(fingerprint uint64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.broken = slices.DeleteFunc(f.broken, func(b brokenRequest) bool { return now.Sub(b.at) > crashWindow })
 	f.broken = append(f.broken, brokenRequest{fingerprint: fingerprint, at: now})
 }
 
-// suspects returns the distinct fingerprints that were in flight at a crash.
-func (f *flight) suspects(now time.Time) []uint64 {
+// Suspects returns the distinct fingerprints that were in flight at a crash.
+func (f *Flight) Suspects(now time.Time) []uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []uint64
--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/internal/control"
@@ -27,7 +28,7 @@
 
 // moduleIDs are the places of the state machines in the control loop.
 type moduleIDs struct {
-	gossip, limits control.ModuleID
+	gossip, limits, quarantine control.ModuleID
 }
 
 func newIncarnation() uint32 {
@@ -44,7 +45,7 @@
 		Send:   func(to fleet.HostID, m machine.Message) { e.datagrams.Send(to, m) },
 		Call:   func(machine.StoreCall, func(machine.StoreResult)) {},
 		Record: e.recordEvent,
-	}, e.registry)
+	}, e.figures.registry)
 	e.limits = limits.NewTable(e.clock, func(in machine.Input) { e.loop.Post(e.modules.limits, in) })
 	e.modules.gossip = e.loop.Add(control.Module{
 		Name: "gossip", Machine: gossip.New(e.Settings.ID, e.Settings.Location, incarnation), Output: e.gossipOutput,
@@ -52,16 +53,20 @@
 	e.modules.limits = e.loop.Add(control.Module{
 		Name: "limits", Machine: limits.NewMachine(e.limits), Output: func(machine.Now, machine.Output) {},
 	}, limits.Messages())
+	e.modules.quarantine = e.loop.Add(control.Module{
+		Name: "quarantine", Machine: dispatch.NewQuarantine(e.member, e.quarantine), Output: func(machine.Now, machine.Output) {},
+	}, dispatch.Messages())
 	e.loop.EverySecond = e.tellSelf
 	datagrams, err := peer.ListenDatagrams(peer.DatagramConfig{
 		Self: e.member, Listen: e.Settings.Listen.Peers,
-		Types:   append(gossip.Messages(), limits.Messages()...),
-		Receive: e.loop.Receive, Metrics: e.registry,
+		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages()),
+		Receive: e.loop.Receive, Metrics: e.figures.registry,
 	})
 	if err != nil {
 		return err
 	}
 	e.datagrams = datagrams
+	e.Settings.Listen.Peers = datagrams.Address()
 	// A share belongs to the machine: a process that starts at its address follows
 	// one that is certainly dead. So the share is held for as long as the process
 	// lives, and the store's list of hosts is the only record of it.
@@ -139,7 +144,9 @@
 		}
 	}
 	e.datagrams.SetPeers(addresses)
-	e.loop.Forward(e.modules.limits, machine.ViewChanged{View: e.view(changed.Peers)})
+	view := machine.ViewChanged{View: e.view(changed.Peers)}
+	e.loop.Forward(e.modules.limits, view)
+	e.loop.Forward(e.modules.quarantine, view)
 	if alive != e.serving {
 		e.serving = alive
 		e.log.Info().Int("hosts", len(changed.Peers)).Int("serving", alive).Msg("serving hosts changed")
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -9,17 +9,18 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/ingress"
 	"github.com/catkinspring/catkinspring/internal/clock"
 	"github.com/catkinspring/catkinspring/internal/control"
 	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/logsink"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/peer"
 	"github.com/catkinspring/catkinspring/policy"
@@ -68,6 +69,8 @@
 	Codec    Codec
 	Paths    Paths
 	Logger   zerolog.Logger
+	// Lines is what Logger writes to; it bounds the lines about requests.
+	Lines *logsink.Sink
 }
 
 // ListenError reports an address that can't be listened on.
@@ -91,7 +94,7 @@
 	clock *clock.Clock
 
 	member    fleet.Member
-	registry  metrics.Registry
+	figures   *figures
 	loop      *control.Loop
 	modules   moduleIDs
 	datagrams *peer.Datagrams
@@ -118,11 +121,15 @@
 	steering *steering.Table
 	budget   *steering.Budget
 	limits   *limits.Table
-	upstream *upstream.Client
-	server   *ingress.Server
+	// quarantine holds the requests that crash upstreams, flights those in progress.
+	quarantine *dispatch.Table
+	flights    dispatch.Flights
+	lines      *logsink.Sink
+	upstream   *upstream.Client
+	server     *ingress.Server
 
 	listeners struct {
-		callers, readiness, directory net.Listener
+		callers, readiness, directory, metrics net.Listener
 	}
 }
 
@@ -137,9 +144,11 @@
 			Host: o.Settings.ID, Location: o.Settings.Location,
 			MaxRegionShift: b.MaxRegionShift, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
-		budget:   steering.NewBudget(steering.BudgetConfig{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow}),
-		registry: metrics.NewRegistry(),
-		upstream: upstream.NewClient(o.Codec),
+		budget:     steering.NewBudget(steering.BudgetConfig{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow}),
+		figures:    newFigures(),
+		quarantine: &dispatch.Table{},
+		lines:      o.Lines,
+		upstream:   upstream.NewClient(o.Codec),
 	}
 	for i := range e.progress {
 		e.progress[i].relist = make(chan struct{}, 1)
@@ -149,6 +158,7 @@
 		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
 	})
+	e.watchGauges()
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -158,22 +168,26 @@
 	return e, nil
 }
 
+// listen binds the listeners. A port of 0 in the settings becomes the one that was
+// given.
 func (e *Edge) listen() error {
-	l := e.Settings.Listen
+	l := &e.Settings.Listen
 	for _, one := range []struct {
 		purpose string
-		address netip.AddrPort
+		address *netip.AddrPort
 		into    *net.Listener
 	}{
-		{"callers", l.Callers, &e.listeners.callers},
-		{"readiness", l.Readiness, &e.listeners.readiness},
-		{"directory", l.Directory, &e.listeners.directory},
+		{"callers", &l.Callers, &e.listeners.callers},
+		{"readiness", &l.Readiness, &e.listeners.readiness},
+		{"directory", &l.Directory, &e.listeners.directory},
+		{"metrics", &l.Metrics, &e.listeners.metrics},
 	} {
 		listener, err := net.Listen("tcp", one.address.String())
 		if err != nil {
-			return &ListenError{Purpose: one.purpose, Address: one.address, Cause: err}
+			return &ListenError{Purpose: one.purpose, Address: *one.address, Cause: err}
 		}
 		*one.into = listener
+		*one.address = listener.Addr().(*net.TCPAddr).AddrPort()
 	}
 	return nil
 }
@@ -203,8 +217,9 @@
 	servers := []*http.Server{
 		{Handler: e.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
 		{Handler: e.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
+		{Handler: e.metricsHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
 	}
-	for i, l := range []net.Listener{e.listeners.readiness, e.listeners.directory} {
+	for i, l := range []net.Listener{e.listeners.readiness, e.listeners.directory, e.listeners.metrics} {
 		group.Go(func() {
 			if err := servers[i].Serve(l); err != http.ErrServerClosed {
 				e.log.Error().Err(err).Msg("listener failed")
@@ -234,6 +249,9 @@
 			gone, changed := e.steering.Expire(e.now())
 			e.logUpstreams(gone, changed, 0)
 			e.upstream.Sweep(at)
+			if o := e.lines.TakeOmitted(); o != (logsink.Omitted{}) {
+				e.log.Info().Int("successes", o.Successes).Int("failures", o.Failures).Int("dropped", o.Dropped).Msg("lines left out")
+			}
 		}
 	}
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/ingress"
+	"github.com/catkinspring/catkinspring/logsink"
 	"github.com/catkinspring/catkinspring/policy"
 	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/steering"
@@ -25,6 +27,9 @@
 	// fullRetryAfter is what callers are told when all upstreams have enough work:
 	// about the time in which an upstream finishes a request.
 	fullRetryAfter = 400 * time.Millisecond
+	// quarantineRetryAfter is what callers of a request that crashes upstreams are
+	// told.
+	quarantineRetryAfter = time.Minute
 	// minTimeLeft is the time below which a request is not sent: a round trip
 	// between regions.
 	minTimeLeft = 100 * time.Millisecond
@@ -56,17 +61,41 @@
 	mayHaveRun bool
 	last       upstream.Result
 	choice     steering.Choice
+	// hash recognises repeats of the request.
+	hash uint64
 }
 
 // handle answers a request of a caller.
-func (e *Edge) handle(ctx context.Context, in *ingress.Request) *ingress.Response {
+func (e *Edge) handle(ctx context.Context, in *ingress.Request) (response *ingress.Response) {
 	e.arrivals.count.Add(1)
 	r := &request{e: e, in: in, fields: e.Codec.Caller(in.Request), snapshot: e.snapshot.Load()}
-	response, reason := r.serve(ctx)
-	r.log(response, reason)
+	reason := "panic"
+	defer func() {
+		if value := recover(); value != nil {
+			// The request may have run, so its connection ends without an answer.
+			response = &ingress.Response{}
+			e.log.Error().Str("request", r.fields.ID).Any("panic", value).Bytes("stack", debug.Stack()).Msg("request handler panicked")
+		}
+		r.finished(response, reason)
+	}()
+	response, reason = r.serve(ctx)
 	return response
 }
 
+// finished counts and logs a finished request.
+func (r *request) finished(response *ingress.Response, reason string) {
+	f, took := r.e.figures, time.Since(r.in.Received)
+	f.count("requests." + reason)
+	f.latency.record(took)
+	class := logsink.Failure
+	if reason == "answered" && response.Status < 500 {
+		class = logsink.Success
+	}
+	if r.e.lines.Allow(class) {
+		r.log(response, reason, took)
+	}
+}
+
 func (r *request) serve(ctx context.Context) (response *ingress.Response, reason string) {
 	if response, reason = r.admit(ctx); response != nil {
 		return response, reason
@@ -99,6 +128,10 @@
 		}
 	}
 	r.setDeadline()
+	r.hash = r.fingerprint()
+	if r.e.quarantine.Quarantined(r.hash) {
+		return refuse(http.StatusServiceUnavailable, quarantineRetryAfter), "quarantined"
+	}
 	if r.customer != nil && !r.route.Open && r.customer.Rate > 0 {
 		admission, err := r.e.limits.Admit(ctx, r.customer.Name)
 		if err != nil {
@@ -133,8 +166,7 @@
 			return response, reason
 		}
 		r.tried = append(r.tried, r.choice.ID)
-		r.last = r.e.upstream.Exchange(running, r.choice.Target, out, r.attempt())
-		r.finish()
+		r.exchange(running, out)
 		if r.last.Outcome == upstream.Answered {
 			return &ingress.Response{Status: r.last.Response.Status, Header: r.last.Response.Header, Body: r.last.Response.Body}, "answered"
 		}
@@ -147,12 +179,27 @@
 	}
 }
 
-func (r *request) attempt() upstream.Attempt {
-	a := upstream.Attempt{Target: r.choice.ID, TimeLeft: time.Until(r.deadline)}
-	if r.customer != nil {
-		a.Customer = r.customer.Name
+// exchange makes one attempt and reports what became of it.
+func (r *request) exchange(running context.Context, out *upstream.Request) {
+	flight := r.e.flights.Of(r.choice.ID)
+	flight.Enter(r.hash)
+	attempt := upstream.Attempt{Target: r.choice.ID, Customer: r.customerName(), TimeLeft: time.Until(r.deadline)}
+	r.last = r.e.upstream.Exchange(running, r.choice.Target, out, attempt)
+	flight.Leave(r.hash)
+	r.finish()
+	r.noteCrash(flight)
+	r.e.figures.count("attempts." + r.last.Outcome.String())
+	if r.last.Outcome == upstream.Answered {
+		r.e.figures.attempt.record(r.last.Took)
+		r.noteSuccess()
+	}
+}
+
+func (r *request) customerName() fleet.Customer {
+	if r.customer == nil {
+		return ""
 	}
-	return a
+	return r.customer.Name
 }
 
 func (r *request) finish() {
@@ -255,9 +302,9 @@
 }
 
 // log writes one line for a finished request.
-func (r *request) log(response *ingress.Response, reason string) {
+func (r *request) log(response *ingress.Response, reason string, took time.Duration) {
 	line := r.e.log.Info().Str("request", r.fields.ID).Int("status", response.Status).Str("outcome", reason).
-		Dur("took", time.Since(r.in.Received)).Dur("bound", r.fields.TimeLeft)
+		Dur("took", took).Dur("bound", r.fields.TimeLeft)
 	if r.snapshot != nil {
 		line = line.Uint64("version", r.snapshot.Version)
 	}
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -178,5 +178,8 @@
 	return e.From, m, err
 }
 
+// Address returns the bound address.
+func (d *Datagrams) Address() netip.AddrPort { return d.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // Close ends Run.
 func (d *Datagrams) Close() error { return d.conn.Close() }
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -43,10 +42,6 @@
 	return e
 }
 
-func (e *datagramEndpoint) address() netip.AddrPort {
-	return e.conn.LocalAddr().(*net.UDPAddr).AddrPort()
-}
-
 func (e *datagramEndpoint) count(name string) int64 {
 	return e.registry.Get(name).(metrics.Counter).Count()
 }
@@ -56,8 +51,8 @@
 func TestOnlyDatagramsSealedForThisHostAreTaken(t *testing.T) {
 	a, b, stranger := listenDatagrams(t, "a", 1), listenDatagrams(t, "b", 1), listenDatagrams(t, "s", 2)
 	// c has the address of b: what is sealed for c must not be taken by b.
-	a.SetPeers(map[fleet.HostID]netip.AddrPort{"b": b.address(), "c": b.address()})
-	stranger.SetPeers(map[fleet.HostID]netip.AddrPort{"b": b.address()})
+	a.SetPeers(map[fleet.HostID]netip.AddrPort{"b": b.Address(), "c": b.Address()})
+	stranger.SetPeers(map[fleet.HostID]netip.AddrPort{"b": b.Address()})
 	stranger.Send("b", text{Text: "let me in"})
 	a.Send("c", text{Text: "not for you"})
 	a.Send("b", text{Text: "hello"})
@@ -74,7 +69,7 @@
 // Guards against a message that the network would split and lose silently.
 func TestOversizedMessageIsCountedAndNotSent(t *testing.T) {
 	a := listenDatagrams(t, "a", 1)
-	a.SetPeers(map[fleet.HostID]netip.AddrPort{"b": a.address()})
+	a.SetPeers(map[fleet.HostID]netip.AddrPort{"b": a.Address()})
 	a.Send("b", text{Text: string(bytes.Repeat([]byte{'x'}, MaxDatagramSize))})
 	require.EqualValues(t, 1, a.count("peer.datagrams.oversized"))
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +53,21 @@
 // Forget closes the unused connections to an upstream that is gone.
 func (c *Client) Forget(t Target) { c.pool.forget(t.Address) }
 
+// refuseTimeout bounds the question whether an upstream refuses connections.
+const refuseTimeout = 300 * time.Millisecond
+
+// Refuses reports whether an upstream's machine answers that nothing listens at
+// its address, which means that its process has ended.
+func (c *Client) Refuses(t Target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
+	defer cancel()
+	conn, err := c.pool.open(ctx, t.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Sweep closes connections that have been unused for long.
 func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
 
