Let a crash of an upstream stand-in win over its closed connections; bound what gossip sends

Beside ten busy processes it failed within 55 s: a crash ends the work and closes the connections, and a worker that ran late chose at random between the two, so the run was recorded as cancelled.

Gossip told all hosts of each new revision, which is the square of the fleet for each change; the rounds carry it now.

--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -131,11 +131,14 @@
 	hosts    map[uint32]*known
 	// revisions are the highest that are known.
 	revisions []uint64
-	near      []uint32
-	far       []uint32
-	round     int
-	next      machine.Instant
-	out       []machine.Output
+	// order has all hosts sorted by name, near and far those of this region and of
+	// the others without this one.
+	order []uint32
+	near  []uint32
+	far   []uint32
+	round int
+	next  machine.Instant
+	out   []machine.Output
 }
 
 var _ machine.Machine = (*Machine)(nil)
@@ -180,9 +183,11 @@
 		leaving := in.Leaving != m.own.Leaving
 		m.own.Leaving = in.Leaving
 		m.own.Rate = uint32(in.Rate * 10)
-		if leaving || newer {
-			// Peers must stop naming this host at once, and read what changed.
+		if leaving {
+			// Peers must stop naming this host at once.
 			m.tellAll(at)
+		}
+		if leaving || newer {
 			m.publish(leaving)
 		}
 	}
@@ -191,7 +196,8 @@
 
 func (m *Machine) setHosts(now machine.Instant, hosts []catalog.Host) {
 	next := make(map[uint32]*known, len(hosts))
-	m.near, m.far = nil, nil
+	m.order, m.near, m.far = nil, nil, nil
+	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b catalog.Host) int { return cmp.Compare(a.ID, b.ID) })
 	for _, h := range hosts {
 		id := hashOf(h.ID)
 		k := m.hosts[id]
@@ -200,6 +206,7 @@
 		}
 		k.Host = h
 		next[id] = k
+		m.order = append(m.order, id)
 		switch {
 		case h.ID == m.self.Host:
 		case h.Location.Region == m.location.Region:
@@ -243,6 +250,16 @@
 	m.publish(false)
 }
 
+// tellAll tells a bounded number of hosts of this one: at its start and at its
+// end. The rounds tell the others.
+func (m *Machine) tellAll(now machine.Instant) {
+	for _, list := range [][]uint32{m.near, m.far} {
+		for _, id := range list[:min(len(list), maxEntries)] {
+			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}, Revisions: m.revisions}})
+		}
+	}
+}
+
 // tell sends what is known to one host of a list, which a hash of the round
 // chooses. Hosts that take turns in the same order would tell each other the same
 // news again and again.
@@ -258,14 +275,6 @@
 	m.out = append(m.out, machine.Send{To: m.hosts[to].ID, Message: m.digest(now)})
 }
 
-func (m *Machine) tellAll(now machine.Instant) {
-	for _, list := range [][]uint32{m.near, m.far} {
-		for _, id := range list[:min(len(list), maxEntries)] {
-			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}, Revisions: m.revisions}})
-		}
-	}
-}
-
 // digest lists this host, then the hosts of its region, then the others, as far
 // as they fit. In a fleet that does not fit, hosts thus hear of a region from its
 // own hosts, whose news is fresh.
@@ -341,7 +350,8 @@
 
 func (m *Machine) publish(membership bool) {
 	c := Changed{Membership: membership, Revisions: slices.Clone(m.revisions)}
-	for id, k := range m.hosts {
+	for _, id := range m.order {
+		k := m.hosts[id]
 		p := Peer{Host: k.Host, Alive: k.alive, Leaving: k.leaving}
 		if id == m.own.Host {
 			p.Member, p.Alive, p.Leaving, p.Rate = m.self, true, m.own.Leaving, float64(m.own.Rate)/10
@@ -353,11 +363,5 @@
 		}
 		c.Peers = append(c.Peers, p)
 	}
-	slices.SortFunc(c.Peers, func(a, b Peer) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	m.out = append(m.out, c)
 }
--- a/internal/standin/upstream/work.go
+++ b/internal/standin/upstream/work.go
@@ -212,6 +212,10 @@
 		case <-j.incarnation.crashed.Done():
 			return upstreamCrashed
 		case <-left:
+			// A crash closes the connections, so it may look like a client that left.
+			if j.incarnation.crashed.Err() != nil {
+				return upstreamCrashed
+			}
 			if !j.conn.silent.Load() {
 				return clientLeft
 			}
