--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -13,9 +13,9 @@
 	// host then learns from a peer that it misses something, see Options.Relist.
 	LongWait = 25 * time.Second
 	// ShortWait is how long a watch of the hosts that look after all others waits. A
-	// missed change is noticed after it and two rounds of gossip, together less than
-	// the tightest bound on a missed change (5 s).
-	ShortWait = 2 * time.Second
+	// watch that was cut is noticed after it and 0.7 s, and all hosts have listed
+	// about 0.6 s later: within the 4 s after which a host must be up to date again.
+	ShortWait = 1500 * time.Millisecond
 	// coalesce is the pause after a change before the next watch, so that a burst
 	// of changes costs one call. It is a tenth of the tightest time bound on a
 	// change (2.5 s).
--- a/edge/control.go
+++ b/edge/control.go
@@ -57,6 +57,7 @@
 		Name: "quarantine", Machine: dispatch.NewQuarantine(e.member, e.quarantine), Output: func(machine.Now, machine.Output) {},
 	}, dispatch.Messages())
 	e.loop.EverySecond = e.tellSelf
+	e.loop.EveryTick = e.lookBehind
 	datagrams, err := peer.ListenDatagrams(peer.DatagramConfig{
 		Self: e.member, Listen: e.Settings.Listen.Peers,
 		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages()),
@@ -115,12 +116,9 @@
 }
 
 func (e *Edge) tellSelf() {
-	self := gossip.SetSelf{Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now())}
-	for i := range e.progress {
-		self.Revisions = append(self.Revisions, e.progress[i].changed.Load())
-	}
-	e.loop.Forward(e.modules.gossip, self)
-	e.lookBehind(e.known)
+	e.loop.Forward(e.modules.gossip, gossip.SetSelf{
+		Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now()), Revisions: e.revisions(),
+	})
 }
 
 func (e *Edge) gossipOutput(_ machine.Now, out machine.Output) {
@@ -130,7 +128,12 @@
 	}
 	e.peers.Store(&changed.Peers)
 	e.known = changed.Revisions
-	e.reader.Store(e.reads(changed.Peers))
+	if reads := e.reads(changed.Peers); e.reader.Swap(reads) != reads && reads {
+		// The watches that are waiting now may wait for long.
+		for i := range e.progress {
+			e.progress[i].askForList()
+		}
+	}
 	e.steering.SetDemand(demandOf(changed.Peers))
 	if !changed.Membership {
 		return
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -12,6 +12,7 @@
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/limits"
+	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/policy"
 	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
@@ -63,29 +64,56 @@
 	// the last change.
 	complete, changed atomic.Uint64
 	relist            chan struct{}
-	// behind is true if a peer knew of a later change at the last look. The control
-	// loop owns it.
-	behind bool
+	// listAt is when a list is asked for because a peer knows a later change; 0 if
+	// none does. The control loop owns it.
+	listAt machine.Instant
 }
 
+const (
+	// behindTime is how long a peer may know a later change before a list is asked
+	// for: a change reaches a watch within the pause after the last one (250 ms).
+	behindTime = 400 * time.Millisecond
+	// relistPause is the time before another list is asked for.
+	relistPause = 2 * time.Second
+)
+
 // lookBehind asks for a list of each kind of which a peer has known a later
-// change for a second. The watch should have told it by then.
-func (e *Edge) lookBehind(known []uint64) {
-	for i := range min(len(known), len(e.progress)) {
+// change for longer than the watch takes to tell it.
+func (e *Edge) lookBehind() {
+	now := e.now()
+	for i := range min(len(e.known), len(e.progress)) {
 		p := &e.progress[i]
-		behind := known[i] > p.complete.Load()
-		if behind && p.behind {
-			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", known[i]).Msg("a peer knows a later change")
-			select {
-			case p.relist <- struct{}{}:
-			default:
-			}
-			behind = false
+		switch {
+		case e.known[i] <= p.complete.Load():
+			p.listAt = 0
+		case p.listAt == 0:
+			p.listAt = now.Add(behindTime)
+		case now >= p.listAt:
+			p.listAt = now.Add(relistPause)
+			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.known[i]).Msg("a peer knows a later change")
+			p.askForList()
 		}
-		p.behind = behind
 	}
 }
 
+// askForList ends the present watch and lists.
+func (p *progress) askForList() {
+	select {
+	case p.relist <- struct{}{}:
+	default:
+		// A list is asked for already.
+	}
+}
+
+// revisions are those of the last changes that this host has seen.
+func (e *Edge) revisions() []uint64 {
+	list := make([]uint64, len(e.progress))
+	for i := range e.progress {
+		list[i] = e.progress[i].changed.Load()
+	}
+	return list
+}
+
 // watchWait returns how long this host's watches wait: shortly on the few hosts
 // that look after changes that all watches missed.
 func (e *Edge) watchWait(k kind) time.Duration {
@@ -107,7 +135,9 @@
 		Wait:   func() time.Duration { return e.watchWait(k) },
 		Progress: func(complete, changed uint64) {
 			p.complete.Store(complete)
-			p.changed.Store(changed)
+			if p.changed.Swap(changed) < changed && e.reader.Load() {
+				e.loop.Post(e.modules.gossip, gossip.Learned{Revisions: e.revisions()})
+			}
 		},
 	}
 	group.Go(func() { catalog.Follow(ctx, s, options, observer) })
--- a/edge/request.go
+++ b/edge/request.go
@@ -79,6 +79,10 @@
 		r.finished(response, reason)
 	}()
 	response, reason = r.serve(ctx)
+	if reason != "answered" && response.Status != 0 && e.server.Crowded() {
+		// Callers repeat refused requests on new connections.
+		response.Close = true
+	}
 	return response
 }
 
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -90,6 +90,15 @@
 // MachineInput marks Announce as an input.
 func (Announce) MachineInput() {}
 
+// Learned carries the revisions of changes that all hosts should hear of at once,
+// because their watches may have missed them.
+type Learned struct {
+	Revisions []uint64
+}
+
+// MachineInput marks Learned as an input.
+func (Learned) MachineInput() {}
+
 // Peer is what is known of one entry host.
 type Peer struct {
 	catalog.Host
@@ -178,6 +187,11 @@
 		m.setHosts(at, in.Hosts)
 	case Announce:
 		m.tellAll(at)
+	case Learned:
+		if m.adopt(in.Revisions) {
+			m.tellAll(at)
+			m.publish(false)
+		}
 	case SetSelf:
 		newer := m.adopt(in.Revisions)
 		leaving := in.Leaving != m.own.Leaving
@@ -250,8 +264,8 @@
 	m.publish(false)
 }
 
-// tellAll tells a bounded number of hosts of this one: at its start and at its
-// end. The rounds tell the others.
+// tellAll tells a bounded number of hosts of this one: at its start, at its end,
+// and of what it alone may have learned. The rounds tell the others.
 func (m *Machine) tellAll(now machine.Instant) {
 	for _, list := range [][]uint32{m.near, m.far} {
 		for _, id := range list[:min(len(list), maxEntries)] {
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -53,6 +53,8 @@
 	// one that is being read.
 	unanswered int
 	closing    bool
+	// usedAt is when the last response was written, or the start.
+	usedAt time.Time
 }
 
 // pending is a request that was read.
@@ -95,7 +97,7 @@
 		// Without probes a caller that lost its power holds its requests for good.
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
-	c := &conn{server: s, raw: raw, queue: make(chan *pending, maxAhead)}
+	c := &conn{server: s, raw: raw, usedAt: time.Now(), queue: make(chan *pending, maxAhead)}
 	c.limit = &headerLimit{source: raw}
 	c.reader = bufio.NewReaderSize(c.limit, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -300,14 +302,24 @@
 	return c.closing
 }
 
-// closeIfUnused ends a connection on which no request is being read or answered.
-func (c *conn) closeIfUnused() {
+// closeIfUnused ends a connection on which no request is being read or answered,
+// and reports whether it did.
+func (c *conn) closeIfUnused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered == 0 && !c.closing {
-		c.closing = true
-		_ = c.raw.SetReadDeadline(time.Now())
+	if c.unanswered > 0 || c.closing {
+		return false
 	}
+	c.closing = true
+	_ = c.raw.SetReadDeadline(time.Now())
+	return true
+}
+
+// unusedFor returns how long no request has been read or answered.
+func (c *conn) unusedFor(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.usedAt), c.unanswered == 0 && !c.closing
 }
 
 // writeAll writes the responses in the order of the requests. A response that
@@ -325,6 +337,7 @@
 		}
 		c.mu.Lock()
 		c.unanswered--
+		c.usedAt = time.Now()
 		c.mu.Unlock()
 		if failed || ends {
 			failed = true
@@ -336,13 +349,13 @@
 }
 
 // ends reports whether the connection ends after a response. While the server
-// drains it is the response to the last request that was read, because those
-// behind it may run already.
+// drains, or if the response asks for it, it is the response to the last request
+// that was read, because those behind it may run already.
 func (c *conn) ends(p *pending, response *Response) bool {
-	if p.last || response.Close {
+	if p.last {
 		return true
 	}
-	if !c.server.isDraining() {
+	if !response.Close && !c.server.isDraining() {
 		return false
 	}
 	c.mu.Lock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -26,7 +26,8 @@
 	Handler Handler
 	// Limits returns the limits in force; it may be called concurrently.
 	Limits func() Limits
-	// MaxConnections bounds the connections; further ones are closed at once.
+	// MaxConnections bounds the connections. For a further one, one that has been
+	// unused for long is closed, or the new one if all are in use.
 	MaxConnections int
 }
 
@@ -58,7 +59,7 @@
 	c := newConn(s, raw)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.config.MaxConnections {
+	if len(s.open) >= s.config.MaxConnections && !s.closeUnused(time.Now()) {
 		_ = raw.Close()
 		return
 	}
@@ -73,6 +74,32 @@
 	}()
 }
 
+// evictSample is the number of connections among which the one that is closed for
+// a new one is chosen. The order of a map is random, so the choice is good enough
+// and does not cost a look at thousands of connections.
+const evictSample = 32
+
+// closeUnused closes the longest unused of some connections. The caller holds the
+// lock.
+func (s *Server) closeUnused(now time.Time) bool {
+	var oldest *conn
+	longest, looked := time.Duration(-1), 0
+	for c := range s.open {
+		if unused, ok := c.unusedFor(now); ok && unused > longest {
+			oldest, longest = c, unused
+		}
+		if looked++; looked == evictSample {
+			break
+		}
+	}
+	return oldest != nil && oldest.closeIfUnused()
+}
+
+// Crowded reports whether more than half of the connections that may be open are.
+// Responses that their callers do not follow up on a connection should close it
+// then.
+func (s *Server) Crowded() bool { return s.Connections() > s.config.MaxConnections/2 }
+
 // Drain ends each connection after the responses to the requests that were read,
 // and unused ones at once.
 func (s *Server) Drain() {
--- a/ingress/types.go
+++ b/ingress/types.go
@@ -55,7 +55,8 @@
 	// Header has no header that concerns only one connection.
 	Header http.Header
 	Body   []byte
-	// Close ends the connection after the response.
+	// Close ends the connection after the response, unless further requests have
+	// been read.
 	Close bool
 }
 
