Count a slow home region for less in the region plan; log the region of refusals

Under load ostland's 4 to 2 upstreams worked without caches (1,100 ms an attempt, 330 ms elsewhere), and the plan took their slots for as good as others.

--- a/edge/request.go
+++ b/edge/request.go
@@ -228,8 +228,8 @@
 		Exclude:  r.tried,
 		Depth:    depthOf(policy.PriorityOf(r.route, r.customer)),
 	})
+	r.choice = choice
 	if refusal == steering.Chosen {
-		r.choice = choice
 		return nil, ""
 	}
 	if len(r.tried) > 0 {
@@ -318,9 +318,12 @@
 	if r.customer != nil {
 		line = line.Str("customer", string(r.customer.Name))
 	}
+	if r.choice.Region != "" {
+		line = line.Str("region", string(r.choice.Region))
+	}
 	if len(r.tried) > 0 {
 		line = line.Any("tried", r.tried).Str("last", r.last.Outcome.String()).Float64("load", r.choice.Load).
-			Int("slots", r.choice.Slots).Int("rank", r.choice.Rank).Str("region", string(r.choice.Region)).
+			Int("slots", r.choice.Slots).Int("rank", r.choice.Rank).
 			Bool("cold", r.choice.Cold).Dur("attempt", r.last.Took).AnErr("cause", r.last.Err)
 	}
 	line.Msg("request")
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -84,7 +84,8 @@
 	load  float64
 }
 
-// Pick chooses an upstream and counts the request as its work.
+// Pick chooses an upstream and counts the request as its work. If it refuses with
+// Full, the choice has the region only.
 func (t *Table) Pick(now machine.Instant, r Request) (Choice, Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -102,7 +103,7 @@
 	list := t.candidates(now, p, r, region)
 	chosen := t.choose(now, r, list)
 	if chosen < 0 {
-		return Choice{}, Full
+		return Choice{Region: region}, Full
 	}
 	m := list[chosen]
 	m.inFlight++
--- a/steering/plan.go
+++ b/steering/plan.go
@@ -16,6 +16,9 @@
 	// is unknown there is none, because a plan that overloads a small region is
 	// corrected only slowly.
 	maxBias = 2
+	// minSpeed bounds how much slower a region's slots are taken to be: work without
+	// a cache takes three times as long, and a queue as long again.
+	minSpeed = 0.2
 	// minDemand is the rate of all requests, a second, below which the demand of
 	// the regions is taken to be equal.
 	minDemand = 5
@@ -118,6 +121,9 @@
 	}
 	slices.Sort(regions)
 	own := t.config.Location.Region
+	total -= slots[own]
+	slots[own] *= p.homeSpeed()
+	total += slots[own]
 	demand := t.demandShares(slots)
 	bias := p.bias(t.serviceDemand(p), total)
 	spare := make(map[fleet.Region]float64, len(regions))
@@ -142,6 +148,16 @@
 	return parts
 }
 
+// homeSpeed is how much work the slots of this region do compared with all: a
+// region whose few upstreams can't keep all of its objects works without caches,
+// takes three times as long, and must get less.
+func (p *pool) homeSpeed() float64 {
+	if p.homeWork == 0 || p.work == 0 {
+		return 1
+	}
+	return min(1, max(minSpeed, p.work/p.homeWork))
+}
+
 // bias is how much more than its part of all slots a region may serve: as much
 // as brings its slots to homeFill, and nothing when all slots are needed.
 func (p *pool) bias(demand, slots float64) float64 {
--- a/steering/table.go
+++ b/steering/table.go
@@ -101,6 +101,8 @@
 	// work is the running mean of the time that an upstream takes to answer, in
 	// seconds; 0 before the first answer.
 	work float64
+	// homeWork is the same of the upstreams in this host's region.
+	homeWork float64
 	// picks counts requests since the last plan, rate is their running rate a
 	// second.
 	picks int
@@ -259,7 +261,7 @@
 		if p == nil {
 			p = &pool{name: m.Service}
 			if before := old[m.Service]; before != nil {
-				p.plan, p.work, p.rate, p.picks = before.plan, before.work, before.rate, before.picks
+				p.plan, p.work, p.homeWork, p.rate, p.picks = before.plan, before.work, before.homeWork, before.rate, before.picks
 			}
 			t.services[m.Service] = p
 		}
@@ -297,7 +299,7 @@
 	}
 	switch r.Outcome {
 	case upstream.Answered:
-		t.services[m.Service].worked(r.Took)
+		t.services[m.Service].worked(r.Took, m.Location.Region == t.config.Location.Region)
 		m.note(now, r.Response.Status >= 500)
 		if m.failures > 0 {
 			m.failures = 0
@@ -331,11 +333,19 @@
 	return ""
 }
 
-func (p *pool) worked(took time.Duration) {
-	if p.work == 0 {
-		p.work = took.Seconds()
+func (p *pool) worked(took time.Duration, home bool) {
+	p.work = average(p.work, took.Seconds())
+	if home {
+		p.homeWork = average(p.homeWork, took.Seconds())
 	}
-	p.work += workWeight * (took.Seconds() - p.work)
+}
+
+// average returns the running mean of the work with one more answer.
+func average(mean, seconds float64) float64 {
+	if mean == 0 {
+		return seconds
+	}
+	return mean + workWeight*(seconds-mean)
 }
 
 func (m *member) note(now machine.Instant, failed bool) {
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -267,3 +267,22 @@
 	require.False(t, b.Spend(9*second, "s"))
 	require.True(t, b.Spend(12*second, "s"))
 }
+
+// Guards against a small region that keeps requests which its upstreams can only
+// do slowly, because their caches can't hold all of its objects.
+func TestSlowHomeRegionKeepsLess(t *testing.T) {
+	tb := table(0, spread(4, 8, 8))
+	tb.SetDemand(map[fleet.Region]float64{"a": 100, "b": 100, "c": 100})
+	p := tb.services["s"]
+	p.rate, p.work, p.homeWork = 25, 0.2, 0.2
+	before := shareOf(tb.target(p), "a")
+	p.homeWork = 0.6
+	after := shareOf(tb.target(p), "a")
+	require.Less(t, after, before/2)
+	require.Positive(t, after)
+	sum := 0.0
+	for _, part := range tb.target(p) {
+		sum += part.share
+	}
+	require.InDelta(t, 1, sum, 1e-9)
+}
