--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -70,7 +70,9 @@
 
 	refunds refundAccount
 	waiters waitQueue
-	usage   Usage
+	// served is the running part of the requests that got a token.
+	served float64
+	usage  Usage
 	// demandPosted is true from the post of a Demand until the machine takes it.
 	demandPosted bool
 	// removed is true once the customer was withdrawn.
@@ -90,7 +92,7 @@
 }
 
 func newBucket(customer fleet.Customer, now machine.Instant) *bucket {
-	b := &bucket{customer: customer, at: now, nextEnd: never}
+	b := &bucket{customer: customer, at: now, nextEnd: never, served: 1}
 	b.refunds.started = now
 	return b
 }
--- a/limits/queue.go
+++ b/limits/queue.go
@@ -13,6 +13,35 @@
 	MaxWait = 250 * time.Millisecond
 )
 
+const (
+	// servedWeight is the part of one request in the running part that got a token;
+	// about the last twenty count.
+	servedWeight = 0.05
+	// scarceBelow is the running part below which a customer counts as beyond its
+	// rate. Customers within it get nearly all of their tokens.
+	scarceBelow = 0.7
+	// scarceLength is how many requests of a customer beyond its rate wait. Tokens
+	// are not lost as long as one waits; every further one makes all of them wait
+	// longer (Nichols and Jacobson, "Controlling Queue Delay").
+	scarceLength = 2
+)
+
+// decided notes whether a request got a token.
+func (b *bucket) decided(admitted bool) {
+	result := 0.0
+	if admitted {
+		result = 1
+	}
+	b.served += servedWeight * (result - b.served)
+}
+
+// mayWait reports whether another request may wait. A customer beyond its rate
+// would otherwise keep a full queue, and each of its requests would wait for
+// MaxWait, admitted or not.
+func (b *bucket) mayWait() bool {
+	return b.served >= scarceBelow || b.waiters.length < scarceLength
+}
+
 // waiterState is the state of a queued request.
 type waiterState uint8
 
--- a/limits/table.go
+++ b/limits/table.go
@@ -152,7 +152,8 @@
 		}
 	}
 	w := &waiter{deadline: now.Add(MaxWait), ready: make(chan struct{})}
-	if !b.waiters.push(w) {
+	if !b.mayWait() || !b.waiters.push(w) {
+		b.decided(false)
 		err := b.refuse()
 		b.mu.Unlock()
 		return nil, nil, err
@@ -237,6 +238,7 @@
 		if !valid || now >= w.deadline {
 			b.waiters.pop()
 			b.usage.Refused++
+			b.decided(false)
 			w.settle(waiterRefused, nil)
 			continue
 		}
@@ -256,6 +258,7 @@
 	}
 	loan, until := b.backing()
 	b.spend()
+	b.decided(true)
 	b.usage.Admitted++
 	if len(b.slab) == 0 {
 		b.slab = make([]admission, slabLength)
--- a/limits/table_test.go
+++ b/limits/table_test.go
@@ -219,3 +219,38 @@
 	require.True(t, admission.Valid(), "one token is enough for repeated checks")
 	require.Nil(t, table.Begin("c").result, "the replacement was taken from the bucket")
 }
+
+// Guards against a customer beyond its rate whose requests all wait for the
+// longest time in a queue that never empties, and against a queue that stays short
+// after that.
+func TestQueueOfACustomerBeyondItsRateIsShort(t *testing.T) {
+	p := newPair(t, 10, 100)
+	table, clock := p.tables[0], p.clock
+	waiting := func() int { return table.Observe("c", false).Waiting }
+	arrive := func(n int) {
+		for range n {
+			table.Begin("c")
+		}
+	}
+	arrive(100)
+	require.Greater(t, waiting(), 40, "a burst may wait")
+	for range 30 {
+		clock.at = clock.at.Add(50 * time.Millisecond)
+		arrive(5)
+	}
+	require.Equal(t, scarceLength, waiting())
+	admitted := table.Observe("c", false).Admitted
+	for range 100 {
+		clock.at = clock.at.Add(50 * time.Millisecond)
+		arrive(5)
+	}
+	require.InDelta(t, 25, table.Observe("c", false).Admitted-admitted, 1, "no token of the 5 a second is lost")
+
+	for range 100 {
+		clock.at = clock.at.Add(500 * time.Millisecond)
+		arrive(1)
+	}
+	require.Zero(t, waiting())
+	arrive(100)
+	require.Greater(t, waiting(), 40, "the next burst may wait again")
+}
