--- a/cmd/catkinspring/edge.go
+++ b/cmd/catkinspring/edge.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -16,10 +18,15 @@
 
 type edgeCommand struct {
 	Settings string `help:"Settings file of the platform; the platform's own variable is used if it is missing." type:"path"`
+	Check    bool   `help:"Check the settings file, print every error, and do not serve."`
 }
 
+// memoryPart is the part of the allowed memory at which the garbage collector works
+// harder. The rest is for received bytes that were not read yet, which count too.
+const memoryPart = 0.7
+
 // Run serves until the process is told to stop.
-func (c edgeCommand) Run(*console) error {
+func (c edgeCommand) Run(console *console) error {
 	file := c.Settings
 	if file == "" {
 		file = platform.SettingsFile()
@@ -28,6 +35,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Check {
+		_, err := fmt.Fprintf(console.out, "%s: no errors\n", file)
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMegabyte) * (1 << 20)))
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
--- a/cmd/catkinspring/exit.go
+++ b/cmd/catkinspring/exit.go
@@ -4,9 +4,10 @@
 	"errors"
 
 	"github.com/catkinspring/catkinspring/configuration"
-	"github.com/catkinspring/catkinspring/host"
+	"github.com/catkinspring/catkinspring/internal/control"
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/operator/client"
+	"github.com/catkinspring/catkinspring/platform"
 	"github.com/catkinspring/catkinspring/settings"
 )
 
@@ -44,7 +45,8 @@
 		invalid     *settings.Error
 		unreadable  *settings.ReadError
 		secret      *settings.SecretError
-		listen      *host.ListenError
+		listen      *control.ListenError
+		platformErr *platform.SettingsError
 		hard        *hardStopError
 		usage       *HostRequiredError
 		unreachable *client.UnreachableError
@@ -55,7 +57,7 @@
 		undecided   *client.UndecidedError
 	)
 	switch {
-	case errors.As(err, &invalid), errors.As(err, &unreadable), errors.As(err, &secret):
+	case errors.As(err, &invalid), errors.As(err, &unreadable), errors.As(err, &secret), errors.As(err, &platformErr):
 		return exitSettings
 	case errors.As(err, &listen):
 		return exitListen
--- a/cmd/catkinspring/exit_test.go
+++ b/cmd/catkinspring/exit_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/catkinspring/catkinspring/operator"
 	"github.com/catkinspring/catkinspring/operator/client"
+	"github.com/catkinspring/catkinspring/platform"
 )
 
 // Guards against outcomes that scripts can't tell apart, and codes that the page
@@ -56,3 +57,9 @@
 	require.Equal(t, exitInvalidUsage, run([]string{"note", "diff", "../../examples/release-note.jsonc"}, &out, &errOut))
 	require.Equal(t, exitInvalidUsage, run([]string{"status"}, &out, &errOut))
 }
+
+// Guards against a script that takes a wrong settings file of the platform for a
+// passing failure and starts again and again.
+func TestPlatformSettingsErrorHasItsExitCode(t *testing.T) {
+	require.Equal(t, exitSettings, exitCode(&platform.SettingsError{File: "f", Problems: []string{"Ip is missing"}}))
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -73,20 +72,6 @@
 	Lines *logsink.Sink
 }
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	Purpose string
-	Address netip.AddrPort
-	Cause   error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("listening for %s on %s: %v", e.Purpose, e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // Edge is one running entry host.
 type Edge struct {
 	Options
@@ -133,7 +118,7 @@
 	}
 }
 
-// New binds the listeners. It returns a *ListenError.
+// New binds the listeners. It returns a *control.ListenError.
 func New(o Options) (*Edge, error) {
 	b := o.Settings.Bounds
 	e := &Edge{
@@ -142,7 +127,7 @@
 		clock:   clock.New(),
 		steering: steering.New(steering.Config{
 			Host: o.Settings.ID, Location: o.Settings.Location,
-			MaxRegionShift: b.MaxRegionShift, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+			MaxRegionShift: b.MaxRegionShift, ColdSlack: b.ColdSlack,
 		}),
 		budget:     steering.NewBudget(steering.BudgetConfig{Ratio: b.RetryRatio, Minimum: b.RetryMinimum, Window: b.RetryWindow}),
 		figures:    newFigures(),
@@ -184,7 +169,7 @@
 	} {
 		listener, err := net.Listen("tcp", one.address.String())
 		if err != nil {
-			return &ListenError{Purpose: one.purpose, Address: *one.address, Cause: err}
+			return &control.ListenError{Purpose: one.purpose, Address: *one.address, Cause: err}
 		}
 		*one.into = listener
 		*one.address = listener.Addr().(*net.TCPAddr).AddrPort()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -34,16 +34,8 @@
 
 // Bounds are the time bounds and ratios that the users set.
 type Bounds struct {
-	// Contact is how long a host must be undisturbed before time bounds hold for it.
-	Contact time.Duration
-	// DrainTime is how long a leaving upstream goes on serving.
-	DrainTime time.Duration
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
-	// Configuration is the time within which a new version is in force.
-	Configuration time.Duration
-	// Evacuation is the time within which a failure domain gets nothing any more.
-	Evacuation time.Duration
 	// RetryRatio, RetryMinimum and RetryWindow bound second attempts; see
 	// steering.BudgetConfig.
 	RetryRatio   float64
@@ -51,8 +43,7 @@
 	RetryWindow  time.Duration
 	// MaxAnswerAge is how long callers may keep an answer to a look-up.
 	MaxAnswerAge time.Duration
-	// MaxRegionShift, ColdFactor and ColdSlack are explained in steering.Config.
+	// MaxRegionShift and ColdSlack are explained in steering.Config.
 	MaxRegionShift float64
-	ColdFactor     float64
 	ColdSlack      float64
 }
--- a/host/host.go
+++ b/host/host.go
@@ -9,7 +9,6 @@
 	"github.com/catkinspring/catkinspring/internal/control"
 	mathrand "math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -108,26 +107,12 @@
 	return fmt.Sprintf("incarnation %s was retired by its cell", e.Member)
 }
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	Purpose string
-	Address netip.AddrPort
-	Cause   error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("listening for %s on %s: %v", e.Purpose, e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 type listeners struct {
 	callers   net.Listener
 	operators net.Listener
 }
 
-// New binds all listeners and wires the modules. It returns a *ListenError, a
+// New binds all listeners and wires the modules. It returns a *control.ListenError, a
 // *settings.SecretError or an error of package peer.
 func New(o Options) (*Host, error) {
 	s := o.Settings
@@ -168,12 +153,12 @@
 func (h *Host) listen() error {
 	callers, err := net.Listen("tcp", h.settings.Listen.Callers.String())
 	if err != nil {
-		return &ListenError{Purpose: "callers", Address: h.settings.Listen.Callers, Cause: err}
+		return &control.ListenError{Purpose: "callers", Address: h.settings.Listen.Callers, Cause: err}
 	}
 	operators, err := net.Listen("tcp", h.settings.Listen.Operators.String())
 	if err != nil {
 		_ = callers.Close()
-		return &ListenError{Purpose: "operators", Address: h.settings.Listen.Operators, Cause: err}
+		return &control.ListenError{Purpose: "operators", Address: h.settings.Listen.Operators, Cause: err}
 	}
 	h.listeners = listeners{callers: callers, operators: operators}
 	return nil
--- a/host/outside.go
+++ b/host/outside.go
@@ -17,6 +17,7 @@
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/control"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/peer"
@@ -89,7 +90,7 @@
 	})
 	var listen *peer.ListenError
 	if errors.As(err, &listen) {
-		return &ListenError{Purpose: "peers", Address: h.settings.Listen.Peers, Cause: listen.Cause}
+		return &control.ListenError{Purpose: "peers", Address: h.settings.Listen.Peers, Cause: listen.Cause}
 	}
 	if err != nil {
 		return err
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -137,7 +137,7 @@
 			return
 		}
 		p := &pending{response: make(chan *Response, 1), last: last}
-		go func() { p.response <- c.server.handler(c.ctx, request) }()
+		go func() { p.response <- c.server.config.Handler(c.ctx, request) }()
 		c.queue <- p
 		if last {
 			c.watchEnd()
@@ -205,7 +205,7 @@
 // read reads one request. last is true if no further one follows on the
 // connection.
 func (c *conn) read() (r *Request, last bool, err error) {
-	limits := c.server.limits()
+	limits := c.server.config.Limits()
 	c.limit.left = int64(orDefault(limits.HeaderBytes, defaultHeaderBytes)) + readBuffer
 	if err := c.raw.SetReadDeadline(time.Now().Add(orDefault(limits.IdleTimeout, defaultIdle))); err != nil {
 		return nil, false, err
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -10,9 +10,6 @@
 
 // Server accepts connections of callers.
 type Server struct {
-	handler Handler
-	limits  func() Limits
-	// ready is called when a request has been read; see Config.
 	config Config
 
 	mu       sync.Mutex
@@ -23,6 +20,7 @@
 
 // Config holds what a Server needs.
 type Config struct {
+	// Handler answers requests; it is called concurrently.
 	Handler Handler
 	// Limits returns the limits in force; it may be called concurrently.
 	Limits func() Limits
@@ -33,7 +31,7 @@
 
 // New returns a server.
 func New(c Config) *Server {
-	return &Server{handler: c.Handler, limits: c.Limits, config: c, open: make(map[*conn]struct{})}
+	return &Server{config: c, open: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -29,9 +29,16 @@
 
 func (g *coldGate) closed(now machine.Instant) bool { return now < g.until }
 
-// warmers is the number of hosts that warm one upstream. Their parts add up to
-// the warm-up rate, and their single stored tokens stay below half of the slack.
-const warmers = 2
+// maxWarmers bounds the hosts that warm one upstream. With two, one is there when
+// the other has no callers; more would each get too small a part of the rate.
+const maxWarmers = 2
+
+// warmers returns the number of hosts that warm one upstream. Their parts add up
+// to the warm-up rate, and their single stored tokens to at most half of the slack,
+// which leaves room for hosts that disagree on who they are.
+func (t *Table) warmers() int {
+	return max(1, min(maxWarmers, int(t.config.ColdSlack/2)))
+}
 
 // admit spends a token of a cold upstream. Invariant: over all hosts at most
 // warmers + rate requests are admitted in one second.
@@ -44,7 +51,7 @@
 		return false
 	}
 	g := &m.cold
-	g.tokens = math.Min(1, g.tokens+now.Sub(g.at).Seconds()*rate/warmers)
+	g.tokens = math.Min(1, g.tokens+now.Sub(g.at).Seconds()*rate/float64(t.warmers()))
 	g.at = now
 	if g.tokens < 1 {
 		return false
@@ -74,7 +81,7 @@
 			before++
 		}
 	}
-	return before < warmers
+	return before < t.warmers()
 }
 
 // HostsIn returns the number of hosts in each region.
--- a/steering/table.go
+++ b/steering/table.go
@@ -43,9 +43,9 @@
 	// MaxRegionShift is the part of a region's requests that may change the region
 	// in which they run within two seconds.
 	MaxRegionShift float64
-	// ColdFactor and ColdSlack bound what a cold upstream may get: in one second
-	// ColdFactor times its warm-up rate plus ColdSlack requests over all hosts.
-	ColdFactor, ColdSlack float64
+	// ColdSlack is the number of requests that a cold upstream may get in one second
+	// over all hosts beside its warm-up rate.
+	ColdSlack float64
 }
 
 // member is an upstream as this host knows it.
