--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -16,10 +16,6 @@
 	// watch that was cut is noticed after it and 0.7 s, and all hosts have listed
 	// about 0.6 s later: within the 4 s after which a host must be up to date again.
 	ShortWait = 1500 * time.Millisecond
-	// coalesce is the pause after a change before the next watch, so that a burst
-	// of changes costs one call. It is a tenth of the tightest time bound on a
-	// change (2.5 s).
-	coalesce = 250 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call. maxRetry is below
 	// the time within which a host must be up to date after an outage (2.5 s).
 	minRetry = 200 * time.Millisecond
@@ -84,6 +80,9 @@
 	Relist <-chan struct{}
 	// Wait returns how long the next watch waits.
 	Wait func() time.Duration
+	// Pause is the time after a change before the next watch, so that a burst of
+	// changes costs one call.
+	Pause time.Duration
 	// Progress takes the revision up to which the copy is complete, and that of the
 	// last change.
 	Progress func(complete, changed uint64)
@@ -161,7 +160,7 @@
 		}
 		f.progress(state.Changes)
 		if len(state.Changes) > 0 {
-			pause(ctx, coalesce)
+			pause(ctx, f.options.Pause)
 		}
 	}
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -54,6 +54,16 @@
 	kinds
 )
 
+// pauses are the pauses after a change of each kind. Changes must be in force
+// within 2.5 s; those of upstreams and configurations come in bursts of several a
+// second, and hosts register together at a start.
+var pauses = [kinds]time.Duration{
+	kindConfiguration: 400 * time.Millisecond,
+	kindUpstreams:     400 * time.Millisecond,
+	kindEvacuations:   250 * time.Millisecond,
+	kindHosts:         time.Second,
+}
+
 func (k kind) String() string {
 	return [...]string{"configuration", "upstreams", "evacuations", "hosts"}[k]
 }
@@ -70,9 +80,9 @@
 }
 
 const (
-	// behindTime is how long a peer may know a later change before a list is asked
-	// for: a change reaches a watch within the pause after the last one (250 ms).
-	behindTime = 400 * time.Millisecond
+	// behindTime is how much longer than the pause of a kind a peer may know a later
+	// change before a list is asked for.
+	behindTime = 150 * time.Millisecond
 	// relistPause is the time before another list is asked for.
 	relistPause = 2 * time.Second
 )
@@ -87,7 +97,7 @@
 		case e.known[i] <= p.complete.Load():
 			p.listAt = 0
 		case p.listAt == 0:
-			p.listAt = now.Add(behindTime)
+			p.listAt = now.Add(behindTime + pauses[i])
 		case now >= p.listAt:
 			p.listAt = now.Add(relistPause)
 			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.known[i]).Msg("a peer knows a later change")
@@ -132,6 +142,7 @@
 	p := &e.progress[k]
 	options := catalog.Options{
 		Relist: p.relist,
+		Pause:  pauses[k],
 		Wait:   func() time.Duration { return e.watchWait(k) },
 		Progress: func(complete, changed uint64) {
 			p.complete.Store(complete)
