--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -11,7 +11,7 @@
 	// LongWait is how long a watch of most hosts waits at the store. Long waits save
 	// calls. A store that drops its history may leave a watch without an answer; the
 	// host then learns from a peer that it misses something, see Options.Relist.
-	LongWait = 25 * time.Second
+	LongWait = 30 * time.Second
 	// ShortWait is how long a watch of the hosts that look after all others waits. A
 	// watch that was cut is noticed after it and 0.7 s, and all hosts have listed
 	// about 0.6 s later: within the 4 s after which a host must be up to date again.
--- a/edge/control.go
+++ b/edge/control.go
@@ -160,9 +160,17 @@
 // one to be there after the loss of a region.
 const readers = 2
 
+// readersKnown is the time after the start at which a host may become a reader. The
+// hosts of a fleet that starts register one after the other, and each would take
+// itself for one at first.
+const readersKnown = 3 * time.Second
+
 // reads reports whether this host is one of the readers: the first host by name
 // that serves in each of the first regions by name.
 func (e *Edge) reads(peers []gossip.Peer) bool {
+	if e.now() < machine.Instant(readersKnown) {
+		return false
+	}
 	var regions []fleet.Region
 	for _, p := range peers {
 		if !p.Alive || p.Leaving || slices.Contains(regions, p.Location.Region) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -59,9 +59,9 @@
 // second, and hosts register together at a start.
 var pauses = [kinds]time.Duration{
 	kindConfiguration: 400 * time.Millisecond,
-	kindUpstreams:     400 * time.Millisecond,
+	kindUpstreams:     time.Second,
 	kindEvacuations:   250 * time.Millisecond,
-	kindHosts:         time.Second,
+	kindHosts:         2 * time.Second,
 }
 
 func (k kind) String() string {
