Let hosts ask each other for news, and probe those of which there is none

Cause: pushed digests reach some hosts late by chance. In the fleet of 300 of TestLiveHostsStayAliveInAFleetOf300 news of another region was older than 5.5 s (seed of the test), and in one of 48 it was 5.5 s at the worst.

Change: from 24 hosts on, a digest is answered with a digest; a host without news for 3.4 s is asked directly (SWIM); entries take 11 bytes instead of about 17, so that a region of 100 hosts fits into a datagram; a start is told to 24 hosts of each list instead of 72.

Before: red at 7 s. The bound of messages is unchanged (it was written with constants of the code and now stands in the test).

--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,18 +15,33 @@
 )
 
 const (
-	// interval is the time between two rounds. A round is one message to a host of
-	// the own region and one to another host for each messageHosts hosts.
-	interval     = 700 * time.Millisecond
-	messageHosts = 48
-	// maxMessages bounds the messages of a round to each of the two.
-	maxMessages = 3
+	// interval is the time between two rounds. In a round, a host sends a digest to
+	// one or two hosts of its own region and to one host of another region; the
+	// regions take turns.
+	interval = 700 * time.Millisecond
+	// askFleet is the number of hosts from which on receivers answer with their own
+	// digest. Without answers, news in a fleet of 48 was up to 5.5 s old.
+	askFleet = 24
+	// largeRegion is the number of other hosts in the own region from which on two of
+	// them get a digest in each round.
+	largeRegion = 48
 	// deadAfter is the age at which a host counts as dead. News takes about three
 	// rounds through a fleet of 12 and five through one of 300. A dead host must
 	// not be named to callers 7 s after its end.
 	deadAfter = 5500 * time.Millisecond
+	// probeAfter is the age at which a host is asked directly, as in SWIM (Das, Gupta,
+	// Motivala, 2002): by chance, news of a few hosts of a large fleet takes longer
+	// than deadAfter. It leaves time for three probes. maxProbes bounds the probes of
+	// a round, of which there are many when a region is lost.
+	probeAfter = 3400 * time.Millisecond
+	maxProbes  = 2
+	// toldAtOnce bounds the hosts of this region, and those of the others, that are
+	// told at once of a planned stop or a change that their watches may have missed.
+	// At the start of a host fewer do, as all hosts of a fleet may start together.
+	toldAtOnce  = 72
+	toldAtStart = 24
 	// maxEntries bounds a message to the size of a datagram.
-	maxEntries = 72
+	maxEntries = 100
 	// maxKinds bounds the revisions of a message.
 	maxKinds = 16
 )
@@ -40,7 +56,6 @@
 
 // Entry is what the sender knows of one host.
 type Entry struct {
-	_ struct{} `cbor:",toarray"`
 	// Host is a hash of the host's id.
 	Host uint32
 	// Incarnation is the part of the incarnation that is sent; the rest is zero.
@@ -55,7 +70,11 @@
 // Digest is what a host knows of the others.
 type Digest struct {
 	_       struct{} `cbor:",toarray"`
-	Entries []Entry
+	Entries Entries
+	// Ask asks the receiver to answer with its own digest. Pushed digests alone reach
+	// some hosts late by chance: in a fleet of 300, news of other regions was up to
+	// 5.5 s old.
+	Ask bool
 	// Revisions are the store revisions of the last changes that any host has seen,
 	// in the order of the kinds that the host follows.
 	Revisions []uint64
@@ -145,9 +164,11 @@
 	order []uint32
 	near  []uint32
 	far   []uint32
-	round int
-	next  machine.Instant
-	out   []machine.Output
+	// regions has the hosts of each other region.
+	regions [][]uint32
+	round   int
+	next    machine.Instant
+	out     []machine.Output
 }
 
 var _ machine.Machine = (*Machine)(nil)
@@ -186,10 +207,10 @@
 	case SetHosts:
 		m.setHosts(at, in.Hosts)
 	case Announce:
-		m.tellAll(at)
+		m.tellAll(toldAtStart)
 	case Learned:
 		if m.adopt(in.Revisions) {
-			m.tellAll(at)
+			m.tellAll(toldAtOnce)
 			m.publish(false)
 		}
 	case SetSelf:
@@ -199,7 +220,7 @@
 		m.own.Rate = uint32(in.Rate * 10)
 		if leaving {
 			// Peers must stop naming this host at once.
-			m.tellAll(at)
+			m.tellAll(toldAtOnce)
 		}
 		if leaving || newer {
 			m.publish(leaving)
@@ -210,7 +231,8 @@
 
 func (m *Machine) setHosts(now machine.Instant, hosts []catalog.Host) {
 	next := make(map[uint32]*known, len(hosts))
-	m.order, m.near, m.far = nil, nil, nil
+	m.order, m.near, m.far, m.regions = nil, nil, nil, nil
+	byRegion := make(map[fleet.Region][]uint32)
 	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b catalog.Host) int { return cmp.Compare(a.ID, b.ID) })
 	for _, h := range hosts {
 		id := hashOf(h.ID)
@@ -227,14 +249,18 @@
 			m.near = append(m.near, id)
 		default:
 			m.far = append(m.far, id)
+			byRegion[h.Location.Region] = append(byRegion[h.Location.Region], id)
 		}
 	}
+	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
+		m.regions = append(m.regions, byRegion[region])
+	}
 	slices.Sort(m.near)
 	slices.Sort(m.far)
 	first := len(m.hosts) == 0
 	m.hosts = next
 	if first {
-		m.tellAll(now)
+		m.tellAll(toldAtStart)
 	}
 	m.publish(true)
 }
@@ -257,19 +283,42 @@
 	}
 	m.next = now.Add(interval)
 	m.round++
-	for i := range min(maxMessages, 1+len(m.hosts)/messageHosts) {
-		m.tell(now, m.near, 2*i)
-		m.tell(now, m.far, 2*i+1)
+	m.tell(now, m.near, 0)
+	if len(m.near) >= largeRegion {
+		m.tell(now, m.near, 1)
+	}
+	if len(m.regions) > 0 {
+		m.tell(now, m.regions[m.round%len(m.regions)], 2)
 	}
+	m.probe(now)
 	m.publish(false)
 }
 
-// tellAll tells a bounded number of hosts of this one: at its start, at its end,
-// and of what it alone may have learned. The rounds tell the others.
-func (m *Machine) tellAll(now machine.Instant) {
+// probe asks the live hosts of which there was no news for longest. Hosts of which
+// there never was any are asked as well.
+func (m *Machine) probe(now machine.Instant) {
+	var stale []uint32
+	for id, k := range m.hosts {
+		if id != m.own.Host && k.alive && now.Sub(k.heardAt) >= probeAfter {
+			stale = append(stale, id)
+		}
+	}
+	slices.SortFunc(stale, func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(m.hosts[a].heardAt, m.hosts[b].heardAt), cmp.Compare(a, b))
+	})
+	for _, id := range stale[:min(len(stale), maxProbes)] {
+		m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: Entries{m.own}, Ask: true, Revisions: m.revisions}})
+	}
+}
+
+// tellAll tells at most limit hosts of this region, and as many others, of this
+// host. The rounds tell the rest.
+func (m *Machine) tellAll(limit int) {
 	for _, list := range [][]uint32{m.near, m.far} {
-		for _, id := range list[:min(len(list), maxEntries)] {
-			m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: []Entry{m.own}, Revisions: m.revisions}})
+		for i := range min(len(list), limit) {
+			// Each host begins at another place, so that none is told by all.
+			to := list[(int(m.own.Host%uint32(len(list)))+i)%len(list)]
+			m.out = append(m.out, machine.Send{To: m.hosts[to].ID, Message: Digest{Entries: Entries{m.own}, Revisions: m.revisions}})
 		}
 	}
 }
@@ -286,14 +335,16 @@
 	binary.LittleEndian.PutUint32(seed[4:], uint32(m.round))
 	binary.LittleEndian.PutUint32(seed[8:], uint32(nonce))
 	to := list[xxhash.Sum64(seed[:])%uint64(len(list))]
-	m.out = append(m.out, machine.Send{To: m.hosts[to].ID, Message: m.digest(now)})
+	d := m.digest(now)
+	d.Ask = len(m.hosts) >= askFleet
+	m.out = append(m.out, machine.Send{To: m.hosts[to].ID, Message: d})
 }
 
 // digest lists this host, then the hosts of its region, then the others, as far
 // as they fit. In a fleet that does not fit, hosts thus hear of a region from its
 // own hosts, whose news is fresh.
 func (m *Machine) digest(now machine.Instant) Digest {
-	d := Digest{Entries: []Entry{m.own}, Revisions: m.revisions}
+	d := Digest{Entries: Entries{m.own}, Revisions: m.revisions}
 	room := maxEntries - 1
 	for _, list := range [][]uint32{m.near, m.far} {
 		entries := m.entries(now, list, room)
@@ -342,6 +393,9 @@
 		k.incarnation, k.leaving, k.rate, k.heardAt = e.Incarnation, e.Leaving, e.Rate, max(heard, k.heardAt)
 		k.alive = now.Sub(k.heardAt) < deadAfter
 	}
+	if d.Ask {
+		m.out = append(m.out, machine.Send{To: from.Host, Message: m.digest(now)})
+	}
 	if changed || newer {
 		m.publish(changed)
 	}
--- a/gossip/machine_test.go
+++ b/gossip/machine_test.go
@@ -11,6 +11,7 @@
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/peer"
 )
 
 const second = machine.Instant(time.Second)
@@ -89,11 +90,13 @@
 // messages whose number grows with the square of the fleet.
 func TestLiveHostsStayAlive(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{12, 87, 100} {
+	for _, n := range []int{12, 48, 87, 100} {
 		liveHostsStayAlive(t, n)
 	}
 }
 
+// Guards against news that takes longer than a host may be silent: before hosts
+// asked each other, one of 300 was taken for dead 6 s after the start.
 func TestLiveHostsStayAliveInAFleetOf300(t *testing.T) {
 	t.Parallel()
 	liveHostsStayAlive(t, 300)
@@ -109,9 +112,12 @@
 			require.Equal(t, n, r.alive(h.ID), "fleet of %d at %d s", n, r.now/second)
 		}
 	}
-	const rounds = 48 // 33 s
-	atStart := 2 * maxEntries
-	require.LessOrEqual(t, r.sent, n*(rounds*2*maxMessages+atStart), "neither the messages of a round nor those at the start of a host grow with the fleet")
+	const (
+		rounds  = 48 // 33 s
+		ofRound = 6
+		atStart = 144
+	)
+	require.LessOrEqual(t, r.sent, n*(rounds*ofRound+atStart), "neither the messages of a round nor those at the start of a host grow with the fleet")
 }
 
 // Guards against a look-up that names a host that ended 7 s ago.
@@ -150,6 +156,53 @@
 	require.Equal(t, 11, r.alive(witness.ID))
 }
 
+// Guards against a region whose loss makes every host ask all hosts of it.
+func TestProbesOfALostRegionAreBounded(t *testing.T) {
+	t.Parallel()
+	r := newRig(300, 0)
+	r.run(10 * time.Second)
+	for _, h := range r.list {
+		r.down[h.ID] = h.Location.Region == "b"
+	}
+	before := r.sent
+	r.run(7 * time.Second)
+	const (
+		rounds = 11
+		ofHost = 6 + 2*maxProbes
+	)
+	require.LessOrEqual(t, r.sent-before, 200*rounds*ofHost)
+	require.Equal(t, 200, r.alive("h-000"))
+}
+
+// Guards against ages that shrink and incarnations that change on the way, and
+// against digests that do not fit into a datagram.
+func TestEntriesOnTheWire(t *testing.T) {
+	t.Parallel()
+	sent := Entries{
+		{Host: 1, Incarnation: 1 << 31, AgeMillis: 0, Rate: 12},
+		{Host: 1 << 31, Incarnation: 7, AgeMillis: 51, Leaving: true, Rate: 1 << 20},
+		{Host: 3, Incarnation: 9, AgeMillis: 1 << 31},
+	}
+	text, err := sent.MarshalBinary()
+	require.NoError(t, err)
+	var got Entries
+	require.NoError(t, got.UnmarshalBinary(text))
+	require.Equal(t, Entries{
+		{Host: 1, Incarnation: 1 << 31, AgeMillis: 0, Rate: 12},
+		{Host: 1 << 31, Incarnation: 7, AgeMillis: 100, Leaving: true, Rate: leavingBit - 1},
+		{Host: 3, Incarnation: 9, AgeMillis: 12750},
+	}, got)
+	var bad *EntriesError
+	require.ErrorAs(t, got.UnmarshalBinary(text[1:]), &bad)
+
+	codec, err := peer.NewCodec(Messages())
+	require.NoError(t, err)
+	wire, err := codec.Encode(Digest{Entries: make(Entries, maxEntries), Revisions: []uint64{1 << 40, 1 << 40, 1 << 40, 1 << 40}})
+	require.NoError(t, err)
+	const envelope = 120 // sender, nonce and tag of peer.Datagrams
+	require.LessOrEqual(t, len(wire)+envelope, peer.MaxDatagramSize)
+}
+
 // Guards against a planned stop whose host is still named, and against a change
 // that a host with a dead watch does not hear of.
 func TestStopAndRevisionsAreToldAtOnce(t *testing.T) {
@@ -191,7 +244,7 @@
 	t.Parallel()
 	m := New("h", fleet.Location{Region: "a"}, 1)
 	m.Step(machine.Now{Instant: second}, SetHosts{Hosts: []catalog.Host{{ID: "h"}, {ID: "i"}}})
-	d := Digest{Entries: []Entry{{}, {Host: hashOf("i"), AgeMillis: 1 << 31}}, Revisions: make([]uint64, 1000)}
+	d := Digest{Entries: Entries{{}, {Host: hashOf("i"), AgeMillis: 1 << 31}}, Revisions: make([]uint64, 1000)}
 	m.Step(machine.Now{Instant: second}, machine.Received{Message: d})
 	require.Len(t, m.revisions, maxKinds)
 }
