Let most hosts read the store with a lag, and the readers tell them what they miss

A host that gossip tells of a later change lists the latest state, as before. The key is read first and proposed only if it is missing twice. Lists after a failure, and those of a process that restarts under traffic, stay the latest.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -39,15 +39,26 @@
 	Revision uint64
 }
 
+// Read says how recent the answer of the store must be.
+type Read uint8
+
+// The reads.
+const (
+	// Latest reads see every change that was acknowledged before them.
+	Latest Read = iota
+	// Lagging reads may miss the changes of some seconds. They cost the store less.
+	Lagging
+)
+
 // Source reads one kind of object. Its methods return *CompactedError if the
 // store no longer holds the changes, and otherwise an error after which a repeat
 // is harmless.
 type Source[T any] interface {
 	// List returns all objects.
-	List(ctx context.Context) (State[T], error)
+	List(ctx context.Context, read Read) (State[T], error)
 	// Watch returns the changes after a revision as soon as there is one, or none
 	// once wait has passed.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (State[T], error)
+	Watch(ctx context.Context, since uint64, wait time.Duration, read Read) (State[T], error)
 }
 
 // CompactedError reports a watch from a revision that the store no longer holds.
@@ -78,8 +89,12 @@
 type Options struct {
 	// Relist asks for a list at once, because a peer knows more.
 	Relist <-chan struct{}
-	// Wait returns how long the next watch waits.
-	Wait func() time.Duration
+	// Watch returns how long the next watch waits, and how recent it must be. A
+	// lagging watch needs a peer that asks for a list when it misses something.
+	Watch func() (wait time.Duration, read Read)
+	// FirstList says how recent the first list must be. All later ones are the
+	// latest: they follow a failure or a change that was missed.
+	FirstList Read
 	// Pause is the time after a change before the next watch, so that a burst of
 	// changes costs one call.
 	Pause time.Duration
@@ -90,7 +105,7 @@
 
 // Follow keeps its observer up to date until the context ends.
 func Follow[T any](ctx context.Context, source Source[T], options Options, o Observer[T]) {
-	f := follower[T]{source: source, observer: o, options: options}
+	f := follower[T]{source: source, observer: o, options: options, read: options.FirstList}
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
@@ -101,7 +116,9 @@
 	observer Observer[T]
 	options  Options
 
-	listed   bool
+	listed bool
+	// read is how recent the next list must be.
+	read     Read
 	changed  uint64
 	revision uint64
 	failures int
@@ -116,7 +133,8 @@
 }
 
 func (f *follower[T]) list(ctx context.Context) {
-	state, err := f.source.List(ctx)
+	state, err := f.source.List(ctx, f.read)
+	f.read = Latest
 	if err != nil {
 		f.failed(ctx, err)
 		return
@@ -139,7 +157,8 @@
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := f.cancelOnRelist(cancel)
-	state, err := f.source.Watch(watching, f.revision, f.options.Wait())
+	wait, read := f.options.Watch()
+	state, err := f.source.Watch(watching, f.revision, wait, read)
 	if stop() {
 		f.listed = false
 	}
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -14,19 +14,21 @@
 type scriptedSource struct {
 	mu    sync.Mutex
 	lists int
+	reads []Read
 	list  func(call int) (State[string], error)
 	watch func(ctx context.Context, since uint64) (State[string], error)
 }
 
-func (s *scriptedSource) List(context.Context) (State[string], error) {
+func (s *scriptedSource) List(_ context.Context, read Read) (State[string], error) {
 	s.mu.Lock()
 	s.lists++
+	s.reads = append(s.reads, read)
 	call := s.lists
 	s.mu.Unlock()
 	return s.list(call)
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, since uint64, _ time.Duration) (State[string], error) {
+func (s *scriptedSource) Watch(ctx context.Context, since uint64, _ time.Duration, _ Read) (State[string], error) {
 	return s.watch(ctx, since)
 }
 
@@ -44,7 +46,7 @@
 	go func() {
 		defer close(done)
 		Follow(ctx, s, Options{
-			Relist: relist, Wait: func() time.Duration { return time.Minute },
+			Relist: relist, Watch: func() (time.Duration, Read) { return time.Minute, Lagging }, FirstList: Lagging,
 			Progress: func(complete, changed uint64) { r.progress <- [2]uint64{complete, changed} },
 		}, Observer[string]{
 			Apply:    func(u Update[string]) { r.updates <- u },
@@ -87,6 +89,8 @@
 	require.False(t, second.AfterOutage)
 	require.Equal(t, uint64(20), second.Revision)
 	require.Empty(t, r.lost)
+	// A list that lags would miss again what the peer knows.
+	require.Equal(t, []Read{Lagging, Latest}, s.reads)
 }
 
 // Guards against changes lost with the history that held them.
--- a/edge/control.go
+++ b/edge/control.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"math"
+	randv2 "math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -79,12 +80,25 @@
 	e.log.Info().Str("event", event.Kind).Str("customer", string(event.Customer)).Msg(event.Text)
 }
 
-// fetchKey gets the key that all entry hosts share.
+// proposeWithin is the time within which the hosts of a fleet that starts propose
+// the shared key, each at a time of its own. All but the first few then read the
+// key that one of them has created.
+const proposeWithin = time.Second
+
+// fetchKey gets the key that all entry hosts share, and proposes one if there is
+// none.
 func (e *Edge) fetchKey(ctx context.Context) {
 	proposal := make([]byte, peer.DatagramKeySize)
 	_, _ = rand.Read(proposal) // crypto/rand never fails; it ends the process instead
-	for ctx.Err() == nil {
-		key, err := e.Store.SharedKey(ctx, proposal)
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		key, err := e.Store.SharedKey(ctx)
+		if err == nil && key == nil && attempt > 0 {
+			key, err = e.Store.ProposeKey(ctx, proposal)
+		}
+		if err == nil && key == nil {
+			wait(ctx, randv2.N(proposeWithin))
+			continue
+		}
 		if err == nil {
 			err = e.datagrams.SetKey(key)
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -44,9 +44,11 @@
 	Hosts() catalog.Source[catalog.Host]
 	// PutHost writes a host's own entry; a repeat is harmless.
 	PutHost(ctx context.Context, h catalog.Host) error
-	// SharedKey returns the key that all entry hosts share; the first proposal
-	// becomes the key.
-	SharedKey(ctx context.Context, proposal []byte) ([]byte, error)
+	// SharedKey returns the key that all entry hosts share, nil if there is none yet
+	// or it was created a moment ago.
+	SharedKey(ctx context.Context) ([]byte, error)
+	// ProposeKey returns the key; the first proposal becomes the key.
+	ProposeKey(ctx context.Context, proposal []byte) ([]byte, error)
 }
 
 // Codec translates what callers and upstreams send.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -124,13 +124,26 @@
 	return list
 }
 
-// watchWait returns how long this host's watches wait: shortly on the few hosts
-// that look after changes that all watches missed.
-func (e *Edge) watchWait(k kind) time.Duration {
-	if k != kindHosts && e.reader.Load() {
-		return catalog.ShortWait
+// watch says how this host's next watch reads: shortly and the latest on the few
+// hosts that look after changes that all watches missed. The others may lag; they
+// hear from those hosts what they miss, and list it then.
+func (e *Edge) watch(k kind) (time.Duration, catalog.Read) {
+	switch {
+	case !e.reader.Load():
+		return catalog.LongWait, catalog.Lagging
+	case k == kindHosts:
+		return catalog.LongWait, catalog.Latest
 	}
-	return catalog.LongWait
+	return catalog.ShortWait, catalog.Latest
+}
+
+// firstList says how the first list of a process reads. A process that restarts
+// under traffic must not begin with a configuration of seconds ago.
+func (e *Edge) firstList() catalog.Read {
+	if e.Settings.FirstStart {
+		return catalog.Lagging
+	}
+	return catalog.Latest
 }
 
 func followKind[T any](ctx context.Context, group *conc.WaitGroup, e *Edge, k kind, s catalog.Source[T], apply func(catalog.Update[T])) {
@@ -141,9 +154,10 @@
 	}
 	p := &e.progress[k]
 	options := catalog.Options{
-		Relist: p.relist,
-		Pause:  pauses[k],
-		Wait:   func() time.Duration { return e.watchWait(k) },
+		Relist:    p.relist,
+		FirstList: e.firstList(),
+		Pause:     pauses[k],
+		Watch:     func() (time.Duration, catalog.Read) { return e.watch(k) },
 		Progress: func(complete, changed uint64) {
 			p.complete.Store(complete)
 			if p.changed.Swap(changed) < changed && e.reader.Load() {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -21,6 +21,9 @@
 	// Domains gives the region of each failure domain.
 	Domains map[fleet.FailureDomain]fleet.Region
 	Bounds  Bounds
+	// FirstStart is true when the whole fleet starts for the first time: there is no
+	// traffic yet.
+	FirstStart bool
 }
 
 // Listen holds the addresses of a process.
