Write a host's entry once

Cause: a host repeated the write every 0.5 s until its watch told the entry, and the watch pauses for 2 s while other hosts register: up to eight calls a host at a start.

Change: an accepted write is not repeated.

TestHostRegistersOnce: 7 writes before, 1 after.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -253,18 +253,20 @@
 	return catalog.Host{ID: e.Settings.ID, Location: e.Settings.Location, Callers: e.Settings.Listen.Callers, Peers: e.Settings.Listen.Peers}
 }
 
-// register writes this host's entry unless the store has it already.
+// register writes this host's entry unless the store has it already. An entry that
+// the store has accepted stays, so it is written once: writing it until a watch
+// tells it took up to eight calls a host.
 func (e *Edge) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		if list := e.hosts.Load(); list != nil {
-			for _, h := range *list {
-				if h == e.self() {
-					return
-				}
+			if slices.Contains(*list, e.self()) {
+				return
 			}
-			if err := e.Store.PutHost(ctx, e.self()); err != nil {
-				e.log.Warn().Err(err).Msg("registration failed")
+			err := e.Store.PutHost(ctx, e.self())
+			if err == nil {
+				return
 			}
+			e.log.Warn().Err(err).Msg("registration failed")
 		}
 		wait(ctx, registerRetry)
 	}
