Give small bursts to few hosts of each region instead of gathering them by loans

Requests of small customers waited for the pool, often in another region: 87 ms or longer for a quarter of them.

Change: a customer whose base shares would hold fewer than 2 tokens is divided over one host for each 4 tokens in every region, by rendezvous hash over the registered hosts. The others borrow from the nearest keeper that has enough. The base share is an account's own now, with the same rule: less applies at once, more after a delay.

--- a/edge/control.go
+++ b/edge/control.go
@@ -52,7 +52,7 @@
 		Name: "gossip", Machine: gossip.New(e.Settings.ID, e.Settings.Location, incarnation), Output: e.gossipOutput,
 	}, gossip.Messages())
 	e.modules.limits = e.loop.Add(control.Module{
-		Name: "limits", Machine: limits.NewMachine(e.limits), Output: func(machine.Now, machine.Output) {},
+		Name: "limits", Machine: limits.NewMachine(e.limits, limits.DivideSmall), Output: func(machine.Now, machine.Output) {},
 	}, limits.Messages())
 	e.modules.quarantine = e.loop.Add(control.Module{
 		Name: "quarantine", Machine: dispatch.NewQuarantine(e.member, e.quarantine), Output: func(machine.Now, machine.Output) {},
--- a/host/modules.go
+++ b/host/modules.go
@@ -53,7 +53,7 @@
 	}, configuration.Messages())
 	h.modules.limits = h.loop.Add(control.Module{
 		Name:    "limits",
-		Machine: limits.NewMachine(h.limits),
+		Machine: limits.NewMachine(h.limits, nil),
 		Output:  ignoreOutput,
 	}, limits.Messages())
 	h.modules.placement = h.loop.Add(control.Module{
--- a/limits/account.go
+++ b/limits/account.go
@@ -90,6 +90,9 @@
 	rate   float64
 	burst  float64
 	active bool
+	// division is that of the customer's limit, base this host's part of it.
+	division Division
+	base     baseShare
 	// pooling is true if this host gathers the units of a small burst.
 	pooling bool
 
@@ -124,8 +127,8 @@
 
 // own returns the part of the base share that is not lent. It is 0 while a base
 // share that became smaller is lent in excess.
-func (a *account) own(weight int64) int64 {
-	return max(0, weight-a.lentOwn())
+func (a *account) own() int64 {
+	return max(0, a.base.inForce-a.lentOwn())
 }
 
 // lentOwn returns the units of the base share that are lent.
@@ -156,8 +159,8 @@
 func (l *borrowedLoan) free() int64 { return l.units - l.lentOn }
 
 // held returns all units that the host can use.
-func (a *account) held(weight int64) int64 {
-	units := a.own(weight)
+func (a *account) held() int64 {
+	units := a.own()
 	for i := range a.borrowed {
 		units += a.borrowed[i].free()
 	}
@@ -165,8 +168,8 @@
 }
 
 // split returns what the host holds, for publication.
-func (a *account) split(weight int64) Split {
-	s := Split{Own: a.own(weight)}
+func (a *account) split() Split {
+	s := Split{Own: a.own()}
 	for i := range a.borrowed {
 		s.Loans = append(s.Loans, LoanUnits{Key: a.borrowed[i].key, Units: a.borrowed[i].free()})
 	}
@@ -187,8 +190,8 @@
 }
 
 // small reports whether a base share holds too few tokens to be useful alone.
-func (a *account) small(weight int64) bool {
-	return a.active && unitsOf(weight, a.burst) < minTokens
+func (a *account) small() bool {
+	return a.active && unitsOf(a.base.inForce, a.burst) < minTokens
 }
 
 // tokenUnits returns the units whose capacity is a number of tokens.
@@ -202,11 +205,11 @@
 // spare returns the units that the host could lend. To waiting requests, whose
 // loans usually come back at once, it lends more: it keeps half of what it needs
 // and a whole token, if it has one, and lends on what it borrowed.
-func (a *account) spare(weight int64, purpose Purpose, now machine.Instant) int64 {
+func (a *account) spare(purpose Purpose, now machine.Instant) int64 {
 	if a.usage.Waiting > 0 || purpose == ForPool && now < a.noPoolUntil {
 		return 0
 	}
-	held, keep, lendable := a.held(weight), a.need(rateHeadroom), a.own(weight)
+	held, keep, lendable := a.held(), a.need(rateHeadroom), a.own()
 	if purpose == ForWaiting {
 		keep /= 2
 		if token := a.tokenUnits(1); keep > 0 && held >= token {
@@ -229,9 +232,9 @@
 
 // cut takes units for a loan out of the base share first and then out of the
 // borrowed loans. It returns their pieces and the longest possible duration.
-func (a *account) cut(units, weight int64, now machine.Instant) ([]part, time.Duration) {
+func (a *account) cut(units int64, now machine.Instant) ([]part, time.Duration) {
 	duration := LoanDuration
-	own := min(units, a.own(weight))
+	own := min(units, a.own())
 	var parts []part
 	if own > 0 {
 		parts = append(parts, part{units: own})
@@ -317,7 +320,8 @@
 func (a *account) estimate(peer *fleet.ViewMember, now machine.Instant) (int64, float64) {
 	f, known := a.spares[peer.Host]
 	if !known {
-		return int64(peer.Weight) / 2, unitsOf(int64(peer.Weight), a.burst) / 2
+		units := a.division.units(peer)
+		return units / 2, unitsOf(units, a.burst) / 2
 	}
 	age := math.Exp2(-now.Sub(f.at).Seconds() / spareHalfLife.Seconds())
 	return int64(float64(f.units) * age), f.tokens * age
--- a/limits/advertise.go
+++ b/limits/advertise.go
@@ -71,9 +71,9 @@
 		}
 		a := m.accounts[m.spareAccount%len(m.accounts)]
 		m.spareAccount++
-		units := m.advertised(a, a.spare(m.weight, ForDemand, now))
+		units := m.advertised(a, a.spare(ForDemand, now))
 		stored := 0.0
-		if a.spare(m.weight, ForWaiting, now) >= minLoan {
+		if a.spare(ForWaiting, now) >= minLoan {
 			stored = a.usage.Level
 		}
 		if a.active && (units >= minLoan || stored > 0) {
@@ -98,7 +98,7 @@
 // in a rendezvous hash of the customer and the hosts that are heard. Two hosts
 // that disagree on it share the units, which costs messages but no safety.
 func (m *Machine) pools(a *account, now machine.Instant) bool {
-	if m.leaving || !a.small(m.weight) {
+	if m.leaving || !a.small() {
 		return false
 	}
 	own := rendezvous(a.id, m.view.Self.Host)
--- a/limits/bench_test.go
+++ b/limits/bench_test.go
@@ -15,7 +15,7 @@
 	const hosts, customers = 64, 64
 	clock := &manualClock{at: machine.Instant(time.Hour)}
 	table := NewTable(clock, ignore)
-	m := NewMachine(table)
+	m := NewMachine(table, nil)
 	view := &fleet.View{}
 	for i := range hosts {
 		member := fleet.Member{Host: fleet.HostID(fmt.Sprintf("host-%02d", i)), Incarnation: fleet.Incarnation{byte(i + 1)}}
--- a/limits/borrow.go
+++ b/limits/borrow.go
@@ -64,7 +64,7 @@
 
 // borrowForDemand asks for what the expected demand lacks.
 func (m *Machine) borrowForDemand(a *account, now machine.Instant) {
-	held := a.held(m.weight)
+	held := a.held()
 	need := a.need(rateHeadroom)
 	purpose, pause := ForDemand, plannedPause
 	if need <= held && a.pooling {
@@ -79,7 +79,7 @@
 	if short <= need/50 {
 		return
 	}
-	chunk := m.weight / 4
+	chunk := a.base.inForce / 4
 	for _, c := range m.candidates(a, now, purpose) {
 		if short <= 0 || len(a.asks) >= maxAsked {
 			break
@@ -108,11 +108,11 @@
 		a.urgentPause = max(minUrgentPause, min(maxUrgentPause, 2*a.urgentPause))
 	}
 	chunk := int64(0)
-	if !a.small(m.weight) {
-		chunk = m.weight / 32
+	if !a.small() {
+		chunk = a.base.inForce / 32
 	}
 	if len(a.borrowed) > maxBorrowed/2 {
-		chunk = m.weight / 4
+		chunk = a.base.inForce / 4
 	}
 	allowed := min(maxAsked-len(a.asks), a.urgent.refill(now), m.urgent.refill(now))
 	blind := 0
@@ -144,8 +144,15 @@
 	tokens float64
 	near   bool
 	turn   int
+	// enough is the number of tokens from which a peer counts as good as a richer
+	// one; 0 if there is none.
+	enough float64
 }
 
+// enoughTokens is the number of tokens of a keeper that make the nearest one first:
+// most requests wait for one token, and one of another region is 70 to 110 ms away.
+const enoughTokens = 2
+
 // candidates returns the peers that can probably lend, the richest first: in
 // units, or in tokens for waiting requests. Peers whose figures have the same
 // power of two count as equal; the nearer one is first then, and after that each
@@ -170,7 +177,11 @@
 		}
 		near := peer.Region == members[self].Region
 		turn := (i - self + len(members)) % len(members)
-		list = append(list, candidate{host: peer.Host, units: units, tokens: tokens, near: near, turn: turn})
+		c := candidate{host: peer.Host, units: units, tokens: tokens, near: near, turn: turn}
+		if a.division != nil {
+			c.enough = enoughTokens
+		}
+		list = append(list, c)
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
 		if c := cmp.Compare(y.class(purpose), x.class(purpose)); c != 0 {
@@ -190,7 +201,11 @@
 // class returns the power of two of the figure that counts for a purpose.
 func (c *candidate) class(purpose Purpose) int {
 	if purpose == ForWaiting {
-		return bits.Len64(uint64(c.tokens / millitoken))
+		tokens := c.tokens
+		if c.enough > 0 {
+			tokens = min(tokens, c.enough)
+		}
+		return bits.Len64(uint64(tokens / millitoken))
 	}
 	return bits.Len64(uint64(c.units))
 }
@@ -202,7 +217,7 @@
 
 func (m *Machine) ask(a *account, peer fleet.HostID, w Want, tokens float64, now machine.Instant) {
 	w.Customer = a.id
-	w.Held = uint32(a.held(m.weight))
+	w.Held = uint32(a.held())
 	a.asks = append(a.asks, ask{peer: peer, units: int64(w.Units), tokens: tokens, at: now})
 	r := m.requestTo(peer)
 	r.Wants = append(r.Wants, w)
@@ -282,12 +297,12 @@
 	if a.usage.Waiting > 0 {
 		return true
 	}
-	if l.units < m.weight/8 && !a.small(m.weight) {
+	if l.units < a.base.inForce/8 && !a.small() {
 		// Loans for waiting requests are small. Expected demand is covered by larger ones.
 		return false
 	}
 	need := float64(a.target(rateHeadroom)) * keepFactor
-	return float64(a.held(m.weight)-l.free()) < need
+	return float64(a.held()-l.free()) < need
 }
 
 // giveBack returns a loan before its end, with its part of the stored tokens.
--- /dev/null
+++ b/limits/divide_test.go
@@ -0,0 +1,88 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/catkinspring/catkinspring/fleet"
+)
+
+// viewOf returns a view in which all regions, and all hosts of a region, have the
+// same part.
+func viewOf(hosts, regions int) *fleet.View {
+	v := &fleet.View{}
+	inRegion := make([]int, regions)
+	for i := range hosts {
+		inRegion[i%regions]++
+	}
+	for i := range hosts {
+		v.Members = append(v.Members, fleet.ViewMember{
+			Member:   fleet.Member{Host: fleet.HostID(fmt.Sprintf("h-%03d", i))},
+			Location: fleet.Location{Region: fleet.Region(fmt.Sprint(i % regions))},
+			State:    fleet.StateActive, Weight: uint32(fleet.TotalWeight / min(hosts, regions) / inRegion[i%regions]), Reachable: i%4 > 0,
+		})
+	}
+	return v
+}
+
+// Guards against a division that hands out more than the limit, or that two hosts
+// see differently.
+func TestDivisionNeverExceedsTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := viewOf(rapid.IntRange(1, 300).Draw(t, "hosts"), rapid.IntRange(1, 17).Draw(t, "regions"))
+		burst := rapid.Float64Range(0, 1000).Draw(t, "burst")
+		d := DivideSmall(v, "c", burst)
+		sum := int64(0)
+		for i := range v.Members {
+			sum += d.units(&v.Members[i])
+		}
+		require.LessOrEqual(t, sum, int64(fleet.TotalWeight))
+		require.GreaterOrEqual(t, sum, int64(fleet.TotalWeight-2*len(v.Members)))
+		rand.New(rand.NewPCG(1, 2)).Shuffle(len(v.Members), func(i, j int) { v.Members[i], v.Members[j] = v.Members[j], v.Members[i] })
+		for i := range v.Members {
+			v.Members[i].Reachable = !v.Members[i].Reachable
+		}
+		require.Equal(t, d, DivideSmall(v, "c", burst))
+	})
+}
+
+// Guards against keepers that hold too few tokens, and against one keeper that
+// holds a large limit alone.
+func TestKeepersOfSmallBursts(t *testing.T) {
+	for _, c := range []struct {
+		hosts   int
+		burst   float64
+		keepers int
+	}{{12, 25, 12}, {12, 14, 3}, {87, 175, 87}, {87, 61, 15}, {87, 20, 3}, {87, 1, 3}, {300, 61, 15}} {
+		v := viewOf(c.hosts, 3)
+		d, keepers := DivideSmall(v, "c", c.burst), 0
+		for i := range v.Members {
+			if d.units(&v.Members[i]) > 0 {
+				keepers++
+			}
+		}
+		require.Equal(t, c.keepers, keepers, "%d hosts, burst %v", c.hosts, c.burst)
+	}
+}
+
+// Guards against an added host that moves the limits of customers which it does
+// not keep.
+func TestAddedHostMovesFewLimits(t *testing.T) {
+	before, after := viewOf(87, 3), viewOf(88, 3)
+	moved, keepers := 0, 0
+	for i := range 100 {
+		customer := fleet.Customer(fmt.Sprint(i))
+		d, e := DivideSmall(before, customer, 60), DivideSmall(after, customer, 60)
+		for host := range e {
+			keepers++
+			if d[host] == 0 {
+				moved++
+			}
+		}
+	}
+	require.Less(t, moved, keepers/20)
+}
--- a/limits/internal/limitsim/driver.go
+++ b/limits/internal/limitsim/driver.go
@@ -39,7 +39,13 @@
 // Loans is the design of package limits.
 var Loans = Variant{Name: "loans", Leases: true, New: func(w *World, h *Host) Driver {
 	table := newTable(w, h)
-	return &tableDriver{Table: table, Machine: limits.NewMachine(table)}
+	return &tableDriver{Table: table, Machine: limits.NewMachine(table, nil)}
+}}
+
+// Divided is the same with the division of small bursts over few hosts.
+var Divided = Variant{Name: "divided", Leases: true, New: func(w *World, h *Host) Driver {
+	table := newTable(w, h)
+	return &tableDriver{Table: table, Machine: limits.NewMachine(table, limits.DivideSmall)}
 }}
 
 func newTable(w *World, h *Host) *limits.Table {
--- a/limits/lend.go
+++ b/limits/lend.go
@@ -55,7 +55,7 @@
 		}
 		m.settle(a, now)
 		i := a.findLent(id)
-		if i < 0 || a.lent[i].to != from || !a.active || a.lentOwn() > m.weight {
+		if i < 0 || a.lent[i].to != from || !a.active || a.lentOwn() > a.base.inForce {
 			return false
 		}
 		l := &a.lent[i]
@@ -75,7 +75,7 @@
 // lacks reports whether the host needs more than it has and than comes back
 // from the loans that it does not renew.
 func (m *Machine) lacks(a *account) bool {
-	units := a.held(m.weight)
+	units := a.held()
 	for i := range a.lent {
 		if a.lent[i].recalled {
 			units += a.lent[i].units
@@ -93,7 +93,7 @@
 	}
 	m.settle(a, now)
 	a.usage = m.shares.Observe(a.id, false)
-	spare := a.spare(m.weight, w.Purpose, now)
+	spare := a.spare(w.Purpose, now)
 	if m.yields(a, from, w) {
 		spare = m.yield(a, now)
 	}
@@ -118,9 +118,9 @@
 func (m *Machine) give(a *account, from fleet.Member, w Want, units, spare int64, longest time.Duration, now machine.Instant, answer *Loan) {
 	wanted := 0.0
 	if w.Purpose == ForWaiting {
-		wanted = a.usage.Level * float64(spare) / float64(max(1, a.held(m.weight)))
+		wanted = a.usage.Level * float64(spare) / float64(max(1, a.held()))
 	}
-	parts, duration := a.cut(units, m.weight, now)
+	parts, duration := a.cut(units, now)
 	duration = min(duration, longest)
 	m.loanID++
 	a.lent = append(a.lent, lentLoan{
@@ -131,7 +131,7 @@
 		purpose: w.Purpose,
 		until:   now.Add(duration + driftMargin(duration)),
 	})
-	tokens := m.shares.Withdraw(a.id, units, a.split(m.weight), wanted)
+	tokens := m.shares.Withdraw(a.id, units, a.split(), wanted)
 	a.usage.Level -= tokens
 	answer.ID = m.loanID
 	answer.Units = uint32(units)
@@ -152,7 +152,7 @@
 // each hold a part of one token, of which none admits a request. The host that
 // holds the most gets the others' parts.
 func (m *Machine) yields(a *account, from fleet.Member, w Want) bool {
-	held := a.held(m.weight)
+	held := a.held()
 	if w.Purpose != ForWaiting || a.usage.Waiting == 0 || held >= a.tokenUnits(1) {
 		return false
 	}
@@ -167,7 +167,7 @@
 	m.returnAll(a)
 	a.asks = nil
 	a.yieldUntil = now.Add(yieldTime)
-	return a.own(m.weight)
+	return a.own()
 }
 
 // returned takes back loans before their end.
@@ -193,7 +193,7 @@
 		tokens := min(float64(l.Microtokens)*microtoken, unitsOf(a.lent[i].units, a.burst))
 		a.settleLent(i)
 		if a.active {
-			m.shares.Deposit(a.id, a.split(m.weight), tokens)
+			m.shares.Deposit(a.id, a.split(), tokens)
 		}
 		return
 	}
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -66,12 +66,6 @@
 // MachineInput marks Succession as an input.
 func (Succession) MachineInput() {}
 
-// growth is a larger base share and the time at which it takes effect.
-type growth struct {
-	to int64
-	at machine.Instant
-}
-
 // Machine is the control side of the limits.
 type Machine struct {
 	shares Shares
@@ -82,10 +76,10 @@
 	leaseUntil machine.Instant
 	revision   fleet.Revision
 
-	// weight is the base share in force, in units.
-	weight int64
-	// growths are the larger base shares that are to take effect, ascending.
-	growths []growth
+	// base is the host's part of all limits. Customers with a division have other
+	// base shares.
+	base   baseShare
+	divide Divide
 
 	// accounts are sorted by customer.
 	accounts []*account
@@ -124,10 +118,11 @@
 var _ machine.Machine = (*Machine)(nil)
 
 // NewMachine returns a machine that publishes to shares. It holds nothing until
-// it gets a view, a lease and customers.
-func NewMachine(shares Shares) *Machine {
+// it gets a view, a lease and customers. divide may be nil.
+func NewMachine(shares Shares, divide Divide) *Machine {
 	return &Machine{
 		shares:     shares,
+		divide:     divide,
 		view:       &fleet.View{},
 		index:      map[fleet.Customer]*account{},
 		sent:       map[uint64]sentRequest{},
@@ -251,10 +246,15 @@
 		a.active = false
 	}
 	for _, c := range in.Customers {
-		a := m.account(c.ID)
+		a, known := m.account(c.ID)
 		a.rate, a.burst, a.active = c.Rate, c.Burst, true
 		m.settle(a, now)
 		m.shares.SetLimit(a.id, a.rate, a.burst)
+		a.division = m.divisionOf(a)
+		if !known {
+			a.base = m.base.ofNewCustomer(m.unitsOf(a), a.division != nil)
+		}
+		a.base.set(m.unitsOf(a), now.Add(growthDelay))
 		m.publishOwn(a)
 	}
 	m.accounts = slices.DeleteFunc(m.accounts, func(a *account) bool {
@@ -279,16 +279,16 @@
 	a.forecast = forecast{}
 }
 
-// account returns the account of a customer, a new one if there is none.
-func (m *Machine) account(id fleet.Customer) *account {
+// account returns the account of a customer and whether there was one before.
+func (m *Machine) account(id fleet.Customer) (a *account, known bool) {
 	if a := m.index[id]; a != nil {
-		return a
+		return a, true
 	}
-	a := newAccount(id)
+	a = newAccount(id)
 	m.index[id] = a
 	at, _ := slices.BinarySearchFunc(m.accounts, a, func(x, y *account) int { return cmp.Compare(x.id, y.id) })
 	m.accounts = slices.Insert(m.accounts, at, a)
-	return a
+	return a, false
 }
 
 // viewChanged takes a new view. A smaller base share applies at once, a larger
@@ -303,7 +303,7 @@
 		weight = int64(self.Weight)
 		leaving = self.State == fleet.StateLeaving
 	}
-	m.setWeight(now, weight)
+	m.setBase(now, weight)
 	m.dropLoansOfTheDead()
 	if leaving && !m.leaving {
 		for _, a := range m.accounts {
@@ -314,22 +314,44 @@
 	m.forgetPeers()
 }
 
-func (m *Machine) setWeight(now machine.Instant, weight int64) {
-	m.cutGrowths(weight)
-	if weight < m.weight {
-		m.weight = weight
-		m.publishAll(now)
+// setBase takes the host's part of all limits and divides those of the customers
+// anew.
+func (m *Machine) setBase(now machine.Instant, weight int64) {
+	delay := growthDelay
+	if weight > m.base.pending() && m.successor {
+		delay, m.successor = successionDelay, false
+	}
+	if m.base.set(weight, now.Add(delay)) {
+		m.shares.SetWeight(m.base.inForce)
 		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
 	}
-	if weight > m.pendingWeight() {
-		delay := growthDelay
-		if m.successor {
-			delay, m.successor = successionDelay, false
+	for _, a := range m.accounts {
+		a.division = m.divisionOf(a)
+		if a.base.set(m.unitsOf(a), now.Add(delay)) {
+			m.settle(a, now)
+			m.publishOwn(a)
 		}
-		m.growths = append(m.growths, growth{to: weight, at: now.Add(delay)})
 	}
 }
 
+// divisionOf returns the division of a customer's limit in the present view.
+func (m *Machine) divisionOf(a *account) Division {
+	if m.divide == nil {
+		return nil
+	}
+	return m.divide(m.view, a.id, a.burst)
+}
+
+// unitsOf returns the base share of a customer that the present view gives to
+// this host.
+func (m *Machine) unitsOf(a *account) int64 {
+	self := m.view.Find(m.view.Self.Host)
+	if self == nil || self.Member != m.view.Self {
+		return 0
+	}
+	return a.division.units(self)
+}
+
 // dropLoansOfTheDead ends loans whose lender runs as another incarnation now: its
 // successor holds the units again. Loans that were lent on run out.
 func (m *Machine) dropLoansOfTheDead() {
@@ -345,62 +367,35 @@
 	}
 }
 
-// cutGrowths bounds the pending growths by a weight. What is left of a growth
-// keeps its time, because the share has been allowed since it was noted.
-func (m *Machine) cutGrowths(weight int64) {
-	for i := range m.growths {
-		if m.growths[i].to >= weight {
-			m.growths[i].to = weight
-			m.growths = m.growths[:i+1]
-			break
-		}
-	}
-	for len(m.growths) > 0 && m.growths[len(m.growths)-1].to <= m.weight {
-		m.growths = m.growths[:len(m.growths)-1]
-	}
-}
-
-// pendingWeight returns the base share once all growths are in force.
-func (m *Machine) pendingWeight() int64 {
-	if len(m.growths) == 0 {
-		return m.weight
-	}
-	return m.growths[len(m.growths)-1].to
-}
-
 // grow puts the larger base shares in force whose time has come.
 func (m *Machine) grow(now machine.Instant) {
-	for len(m.growths) > 0 && now >= m.growths[0].at {
-		m.weight = m.growths[0].to
-		m.growths = m.growths[1:]
-		m.publishAll(now)
-		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.weight))
+	if m.base.grow(now) {
+		m.shares.SetWeight(m.base.inForce)
+		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.base.inForce))
 	}
-}
-
-func (m *Machine) publishAll(now machine.Instant) {
-	m.shares.SetWeight(m.weight)
 	for _, a := range m.accounts {
-		m.settle(a, now)
-		m.publishOwn(a)
+		if a.base.grow(now) {
+			m.settle(a, now)
+			m.publishOwn(a)
+		}
 	}
 }
 
 func (m *Machine) publishOwn(a *account) {
 	if a.active {
-		m.shares.Deposit(a.id, a.split(m.weight), 0)
+		m.shares.Deposit(a.id, a.split(), 0)
 	}
 }
 
 // restart forgets what belonged to another incarnation of this process. Its
 // loans ended before its share was given to others.
 func (m *Machine) restart() {
-	m.weight, m.growths, m.leaseUntil = 0, nil, 0
+	m.base, m.leaseUntil = baseShare{}, 0
 	m.shares.SetWeight(0)
 	m.shares.Reset()
 	m.sent = map[uint64]sentRequest{}
 	for _, a := range m.accounts {
-		a.lent, a.borrowed, a.asks = nil, nil, nil
+		a.base, a.lent, a.borrowed, a.asks = baseShare{}, nil, nil, nil
 	}
 }
 
--- a/limits/machine_test.go
+++ b/limits/machine_test.go
@@ -33,7 +33,7 @@
 	}
 	for i := range p.machines {
 		p.tables[i] = NewTable(p.clock, func(machine.Input) {})
-		p.machines[i] = NewMachine(p.tables[i])
+		p.machines[i] = NewMachine(p.tables[i], nil)
 		p.step(i, machine.LeaseChanged{ValidUntil: p.clock.at.Add(time.Hour)})
 		p.step(i, SetCustomers{Revision: 1, Customers: []CustomerLimit{{ID: "c", Rate: rate, Burst: burst}}})
 		p.step(i, p.view(i, fleet.TotalWeight/2))
@@ -258,7 +258,7 @@
 
 	p.members[1].Incarnation = fleet.Incarnation{9}
 	p.tables[1] = NewTable(p.clock, func(machine.Input) {})
-	p.machines[1] = NewMachine(p.tables[1])
+	p.machines[1] = NewMachine(p.tables[1], nil)
 	p.step(1, machine.LeaseChanged{ValidUntil: p.clock.at.Add(time.Hour)})
 	p.step(1, SetCustomers{Revision: 1, Customers: []CustomerLimit{{ID: "c", Rate: 10, Burst: 100}}})
 	p.step(1, Succession{})
--- a/limits/matrix_test.go
+++ b/limits/matrix_test.go
@@ -21,12 +21,19 @@
 	if seed, err := strconv.ParseUint(os.Getenv("LIMITS_SWEEP"), 10, 64); err == nil {
 		first, steps, pairSteps, pairFaults = seed, 60, 3, limitsim.Faults
 	}
-	build := func(seed uint64) faulttest.Scenario { return limitsim.NewScenario(seed, limitsim.Loans) }
-	singles := func(seed uint64) faulttest.Matrix {
-		return faulttest.Matrix{Module: "limits", Seeds: []uint64{seed}, Faults: limitsim.Faults, Build: build, MaxSteps: steps}
+	build := func(v limitsim.Variant) func(uint64) faulttest.Scenario {
+		return func(seed uint64) faulttest.Scenario { return limitsim.NewScenario(seed, v) }
 	}
-	pairs := faulttest.Matrix{Module: "limits", Seeds: []uint64{first + 2}, Faults: pairFaults, Build: build, PairSteps: pairSteps, PairDelay: 700 * time.Millisecond}
-	for name, matrix := range map[string]faulttest.Matrix{"singles-1": singles(first), "singles-2": singles(first + 1), "pairs": pairs} {
+	singles := func(seed uint64, v limitsim.Variant) faulttest.Matrix {
+		return faulttest.Matrix{Module: "limits", Seeds: []uint64{seed}, Faults: limitsim.Faults, Build: build(v), MaxSteps: steps}
+	}
+	pairs := func(v limitsim.Variant) faulttest.Matrix {
+		return faulttest.Matrix{Module: "limits", Seeds: []uint64{first + 2}, Faults: pairFaults, Build: build(v), PairSteps: pairSteps, PairDelay: 700 * time.Millisecond}
+	}
+	for name, matrix := range map[string]faulttest.Matrix{
+		"singles-1": singles(first, limitsim.Loans), "singles-2": singles(first+1, limitsim.Loans), "pairs": pairs(limitsim.Loans),
+		"divided": singles(first, limitsim.Divided), "divided-pairs": pairs(limitsim.Divided),
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			matrix.Run(t)
