--- a/limits/divide_test.go
+++ b/limits/divide_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
 )
 
 // viewOf returns a view in which all regions, and all hosts of a region, have the
@@ -86,3 +88,38 @@
 	}
 	require.Less(t, moved, keepers/20)
 }
+
+// Guards against a keeper that gives away parts of a token, which admit nothing
+// where they go: a customer beyond its rate got 78% of it on a fleet of 64.
+func TestKeeperLendsWholeTokens(t *testing.T) {
+	p := &pair{clock: &manualClock{at: machine.Instant(time.Hour)}}
+	for i := range p.members {
+		p.members[i] = fleet.Member{Host: fleet.HostID(rune('a' + i)), Incarnation: fleet.Incarnation{byte(i + 1)}}
+	}
+	keeper := func(*fleet.View, fleet.Customer, float64) Division { return Division{"a": fleet.TotalWeight} }
+	p.tables[0] = NewTable(p.clock, func(machine.Input) {})
+	p.machines[0] = NewMachine(p.tables[0], keeper)
+	step := func(in machine.Input) []machine.Output { return p.machines[0].Step(p.clock.Now(), in) }
+	step(machine.LeaseChanged{ValidUntil: p.clock.at.Add(time.Hour)})
+	step(SetCustomers{Revision: 1, Customers: []CustomerLimit{{ID: "c", Rate: 1, Burst: 10}}})
+	step(p.view(0, fleet.TotalWeight/2))
+	p.clock.at = p.clock.at.Add(growthDelay)
+	step(machine.Tick{})
+	asked := uint64(0)
+	lent := func() uint32 {
+		asked++
+		want := Want{Customer: "c", Units: fleet.TotalWeight / 10, Purpose: ForWaiting}
+		for _, out := range step(machine.Received{From: p.members[1], Message: Request{Sequence: asked, Wants: []Want{want}}}) {
+			if s, ok := out.(machine.Send); ok {
+				if g, ok := s.Message.(Grant); ok {
+					return g.Loans[0].Units
+				}
+			}
+		}
+		return 0
+	}
+	p.clock.at = p.clock.at.Add(500 * time.Millisecond)
+	require.Zero(t, lent(), "the keeper has half a token")
+	p.clock.at = p.clock.at.Add(600 * time.Millisecond)
+	require.Equal(t, uint32(fleet.TotalWeight/10), lent())
+}
--- a/limits/lend.go
+++ b/limits/lend.go
@@ -100,9 +100,9 @@
 	if w.Purpose == ForDemand && int64(w.Units) > spare && a.lentToPool() > 0 {
 		a.noPoolUntil = now.Add(noPoolTime)
 	}
-	if a.pooling && w.Purpose == ForWaiting && a.usage.Level < min(1, unitsOf(int64(w.Units), a.burst)) {
-		// Parts of a token at several hosts admit nothing. The pool keeps them until
-		// they are what a host lacks.
+	if (a.pooling || a.division != nil) && w.Purpose == ForWaiting && a.usage.Level < min(1, unitsOf(int64(w.Units), a.burst)) {
+		// Parts of a token at several hosts admit nothing. The pool, or a keeper, keeps
+		// them until they are what a host lacks.
 		spare = 0
 	}
 	if units := min(int64(w.Units), spare); units >= minLoan {
