Notice machines that do not acknowledge what was sent to them

A used connection that broke did not count against the upstream either.

Change: connections to upstreams end after 800 ms without acknowledgement (TCP_USER_TIMEOUT). The attempt is broken and silent, the upstream gets no requests for a while, its unused connections are closed.

--- a/steering/table.go
+++ b/steering/table.go
@@ -319,12 +319,15 @@
 		return "unreachable"
 	case upstream.Broken:
 		m.note(now, true)
-		if r.Reused {
+		if r.Reused && !r.Silent {
 			// The connection may have been closed as unused.
 			return "connection broke"
 		}
 		m.failures++
 		m.ejectUntil = now.Add(backoff(m.failures))
+		if r.Silent {
+			return "silent"
+		}
 		return "broke a new connection"
 	case upstream.TimedOut:
 		m.note(now, true)
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -286,3 +286,15 @@
 	}
 	require.InDelta(t, 1, sum, 1e-9)
 }
+
+// Guards against requests that go on to an upstream whose machine is gone, because
+// its connections had been used before.
+func TestSilentUpstreamIsSkipped(t *testing.T) {
+	tb := table(0, spread(3))
+	first, _ := tb.Pick(2*second, ask("x"))
+	what := tb.Done(2*second, first.ID, upstream.Result{Outcome: upstream.Broken, Reused: true, Silent: true})
+	require.Equal(t, "silent", what)
+	other, refusal := tb.Pick(2*second, ask("x"))
+	require.Equal(t, Chosen, refusal)
+	require.NotEqual(t, first.ID, other.ID)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -105,6 +105,10 @@
 	stop := context.AfterFunc(e.ctx, func() { _ = conn.SetDeadline(past) })
 	result, keep := e.on(conn)
 	interrupted := !stop()
+	if result.Silent {
+		// The unused connections lead to the same machine.
+		e.client.Forget(e.target)
+	}
 	result.Reused = conn.used
 	if interrupted || keep <= 0 {
 		_ = conn.Close()
@@ -144,12 +148,13 @@
 		select {
 		case werr := <-written:
 			whole = werr == nil
+			err = withSilence(err, werr)
 		default:
 			// The rest of the body is still due on this connection, so it can't carry
 			// another request.
 			whole = false
 			_ = conn.SetDeadline(past)
-			<-written
+			err = withSilence(err, <-written)
 		}
 	}
 	if err != nil {
@@ -167,6 +172,15 @@
 	return Result{Outcome: Answered, Response: response}, keep
 }
 
+// withSilence adds to the error of a read that the machine was silent. The kernel
+// tells the end of a connection either to the write or to the read.
+func withSilence(read, write error) error {
+	if read != nil && errors.Is(write, syscall.ETIMEDOUT) {
+		return errors.Join(read, write)
+	}
+	return read
+}
+
 // keepFor returns how long an unused connection may be kept.
 func keepFor(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
@@ -252,7 +266,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) || e.ctx.Err() != nil:
 		return Result{Outcome: TimedOut, Err: err}
 	}
-	return Result{Outcome: Broken, Err: err}
+	return Result{Outcome: Broken, Err: err, Silent: errors.Is(err, syscall.ETIMEDOUT)}
 }
 
 // RemoveConnectionHeaders removes the headers that concern one connection only.
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -280,3 +280,22 @@
 	require.NotContains(t, fmt.Sprint(h), "secret")
 	require.Equal(t, "u", h.Get("Target"))
 }
+
+// Guards against requests that wait for their whole time because the machine of
+// an upstream is gone: nothing on the connection says so but the missing
+// acknowledgements.
+func TestSilentMachineIsNoticedWithinASecond(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(_ *stub, c net.Conn, r *bufio.Reader) {
+		// A full receive buffer acknowledges nothing more, as a machine without power.
+		_, _ = r.Peek(1)
+		<-release
+	})
+	defer close(release)
+	r := request("1")
+	r.Method, r.Body = "POST", make([]byte, 12<<20)
+	result := exchangeWith(t, NewClient(testCodec{}), s, r)
+	require.Equal(t, Broken, result.Outcome)
+	require.True(t, result.Silent)
+	require.Less(t, result.Took, 3*time.Second)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,6 +26,10 @@
 	// maxIdlePerUpstream bounds the unused connections to one upstream. Upstreams
 	// have a few slots and a few hundred connections for all hosts together.
 	maxIdlePerUpstream = 8
+	// unacknowledgedTimeout is the time after which the kernel ends a connection whose
+	// upstream's machine does not acknowledge what was sent. It leaves room for a round
+	// trip between regions (110 ms) and two lost packets (repeated after 0.3 and 0.6 s).
+	unacknowledgedTimeout = 800 * time.Millisecond
 	// readBufferBytes bounds the header of a response.
 	readBufferBytes = 8 << 10
 )
@@ -47,11 +55,21 @@
 
 func newPool() *pool {
 	return &pool{
-		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive},
+		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: boundUnacknowledged},
 		idle:   make(map[netip.AddrPort][]*connection),
 	}
 }
 
+// boundUnacknowledged sets unacknowledgedTimeout on a socket. Keep-alive probes do
+// not find a silent machine while a request to it is not acknowledged.
+func boundUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // take returns an unused connection on which nothing has arrived, or nil.
 func (p *pool) take(address netip.AddrPort, now time.Time) *connection {
 	for {
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -99,6 +99,9 @@
 	Response *Response
 	// Err is the cause of the other outcomes.
 	Err error
+	// Silent is true if the upstream's machine did not acknowledge what was sent, or
+	// stopped to answer the kernel's probes.
+	Silent bool
 	// Reused is true if the connection had carried a request before.
 	Reused bool
 	Took   time.Duration
