Send the second attempt at once when an upstream's machine is silent

Cause: after a broken connection a host asks whether the upstream refuses connections, which tells a crash.

Change: no question to machines that were found silent.

--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -18,7 +18,9 @@
 // crashed are refused by all hosts until one of their requests succeeds.
 func (r *request) noteCrash(flight *dispatch.Flight) {
 	e := r.e
-	if r.last.Outcome != upstream.Broken {
+	if r.last.Outcome != upstream.Broken || r.last.Silent {
+		// A process that ends closes its connections. Asking a silent machine would hold
+		// up the next attempt until the question times out.
 		return
 	}
 	flight.Broke(r.hash, time.Now())
