--- a/cmd/catkinspring/explain.go
+++ b/cmd/catkinspring/explain.go
@@ -11,6 +11,7 @@
 type explainCommand struct {
 	RequestID string `arg:"" name:"request-id" help:"Value of the X-Request-Id header of the response."`
 	fleetFlags
+	logFlags
 	jsonFlag
 }
 
@@ -23,6 +24,9 @@
 
 // Run says what happened to a request.
 func (c explainCommand) Run(con *console) error {
+	if len(c.Logs) > 0 {
+		return c.explainLogs(con)
+	}
 	hosts, err := c.client()
 	if err != nil {
 		return err
@@ -42,6 +46,25 @@
 	return err
 }
 
+// explainLogs prints the lines of a request, and those about the upstreams that it
+// was sent to.
+func (c *explainCommand) explainLogs(con *console) error {
+	lines, err := c.lines(con)
+	if err != nil {
+		return err
+	}
+	events := timeline.Related(lines, c.RequestID)
+	if c.JSON {
+		err = con.json(explanation{Request: c.RequestID, Events: events})
+	} else {
+		con.events(events)
+	}
+	if err == nil && len(events) == 0 {
+		return &operator.NotFoundError{What: "no line of request " + c.RequestID + " is in the logs"}
+	}
+	return err
+}
+
 func (c *console) explain(id string, t client.Timeline) {
 	if len(t.Events) > 0 {
 		first := &t.Events[0]
--- a/cmd/catkinspring/fleet.go
+++ b/cmd/catkinspring/fleet.go
@@ -59,6 +59,8 @@
 
 func (c *console) printf(format string, args ...any) { fmt.Fprintf(c.out, format, args...) }
 
+func (c *console) warnf(format string, args ...any) { fmt.Fprintf(c.err, format, args...) }
+
 func (c *console) json(v any) error {
 	encoder := json.NewEncoder(c.out)
 	encoder.SetIndent("", "  ")
--- a/cmd/catkinspring/timeline.go
+++ b/cmd/catkinspring/timeline.go
@@ -23,9 +23,10 @@
 	Request  string        `placeholder:"ID" help:"Only events of this request."`
 	Kind     string        `placeholder:"KIND" help:"Only events of this kind, such as lease.valid; with a dot at the end of all that start with it, such as request."`
 	Limit    int           `default:"1000" help:"Newest events of each host, at most 10000."`
-	Follow   bool          `help:"Go on with new events until interrupted."`
+	Follow   bool          `help:"Go on with new events until interrupted; not with --logs."`
 	HTML     string        `name:"html" type:"path" placeholder:"FILE" help:"Write a page with a plot instead. It needs no network to be read."`
 	fleetFlags
+	logFlags
 	jsonFlag
 }
 
@@ -42,27 +43,38 @@
 
 // Run prints the time line.
 func (c timelineCommand) Run(con *console) error {
+	query := c.query()
+	if len(c.Logs) > 0 {
+		lines, err := c.lines(con)
+		if err != nil {
+			return err
+		}
+		return c.show(con, timelineOf(lines, query))
+	}
 	hosts, err := c.client()
 	if err != nil {
 		return err
 	}
-	query := c.query()
 	t, err := hosts.Timeline(con.ctx, query)
 	if err != nil {
 		return err
 	}
-	if c.HTML != "" {
-		return writePage(c.HTML, t)
+	if c.HTML == "" && c.Follow {
+		return con.follow(hosts, query, t, c.JSON)
 	}
-	if !c.Follow {
-		if c.JSON {
-			return con.json(t)
-		}
-		con.events(t.Events)
-		con.unreached(t.Unreached)
-		return nil
+	return c.show(con, t)
+}
+
+func (c *timelineCommand) show(con *console, t client.Timeline) error {
+	switch {
+	case c.HTML != "":
+		return writePage(c.HTML, t)
+	case c.JSON:
+		return con.json(t)
 	}
-	return con.follow(hosts, query, t, c.JSON)
+	con.events(t.Events)
+	con.unreached(t.Unreached)
+	return nil
 }
 
 // follow prints events as they come; with --json one a line.
