Bound answers and bodies by bytes, alone and together

Change: internal/bytebudget reserves bytes before they are read; one body may hold at most what is left for the others. upstream: header 32 KiB, 8 interim answers, body 8 MiB, all bodies together 8 MiB. ingress: an eighth of the memory limit; beyond it 503 before the request runs, and no 100 Continue. A deadline that passes while a connection is opened now means not run (503) instead of a caller that left (no answer).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,12 @@
 	// reservedDescriptors are kept for connections to upstreams, the store and peers,
 	// and for files; the others are available to callers' connections.
 	reservedDescriptors = 1200
+	// responseMemoryBytes is the memory that bodies of upstreams' responses may hold. The
+	// heap can grow by several times that until garbage is collected.
+	responseMemoryBytes = 8 << 20
+	// requestMemoryPart is the part of the memory limit that bodies of callers' requests
+	// may hold while they are read or handled.
+	requestMemoryPart = 8
 )
 
 // Store is the part of the platform's store that an entry host uses.
@@ -137,7 +143,7 @@
 		hostMetrics: newHostMetrics(),
 		quarantine:  &dispatch.Table{},
 		logSink:     o.LogSink,
-		upstream:    upstream.NewClient(o.Codec),
+		upstream:    upstream.NewClient(o.Codec, responseMemoryBytes),
 	}
 	for i := range e.progress {
 		e.progress[i].relist = make(chan struct{}, 1)
@@ -146,6 +152,7 @@
 		Handler:        e.handle,
 		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
+		BodyBytes:      o.Settings.memoryBytes() / requestMemoryPart,
 	})
 	e.registerGauges()
 	if err := e.listen(); err != nil {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -88,8 +88,10 @@
 // registerGauges registers the metrics whose values are read on demand.
 func (e *Edge) registerGauges() {
 	for name, read := range map[string]func() int64{
-		"callers.connections": func() int64 { return int64(e.server.Connections()) },
-		"upstreams.known":     func() int64 { return int64(e.steering.UpstreamCount()) },
+		"callers.connections":  func() int64 { return int64(e.server.Connections()) },
+		"callers.body_bytes":   e.server.BodyBytes,
+		"upstreams.body_bytes": e.upstream.ResponseBytes,
+		"upstreams.known":      func() int64 { return int64(e.steering.UpstreamCount()) },
 		"configuration.version": func() int64 {
 			if s := e.snapshot.Load(); s != nil {
 				return int64(s.Version)
--- a/edge/request.go
+++ b/edge/request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
@@ -122,22 +121,22 @@
 // returns a response only if the request is refused.
 func (r *request) admit(ctx context.Context) (response *ingress.Response, outcome string) {
 	if r.snapshot == nil {
-		return refuse(http.StatusServiceUnavailable, noConfigurationRetryAfter), "no_configuration"
+		return ingress.Refuse(http.StatusServiceUnavailable, noConfigurationRetryAfter), "no_configuration"
 	}
 	r.route = r.snapshot.RouteFor(r.in.Host, r.in.URL.EscapedPath())
 	if r.route == nil {
-		return refuse(http.StatusNotFound, 0), "no_route"
+		return ingress.Refuse(http.StatusNotFound, 0), "no_route"
 	}
 	if r.snapshot.RequiresKey() {
 		r.customer = r.snapshot.CustomerOf(r.fields.Key)
 		if r.customer == nil && !r.route.AllowsAnonymous {
-			return refuse(http.StatusUnauthorized, 0), "unknown_key"
+			return ingress.Refuse(http.StatusUnauthorized, 0), "unknown_key"
 		}
 	}
 	r.setDeadline()
 	r.fingerprint = r.computeFingerprint()
 	if r.e.quarantine.Quarantined(r.fingerprint) {
-		return refuse(http.StatusServiceUnavailable, quarantineRetryAfter), "quarantined"
+		return ingress.Refuse(http.StatusServiceUnavailable, quarantineRetryAfter), "quarantined"
 	}
 	if r.customer != nil && !r.route.AllowsAnonymous && r.customer.Rate > 0 {
 		admission, err := r.e.limits.Admit(ctx, r.customer.Name)
@@ -175,7 +174,8 @@
 		r.tried = append(r.tried, r.choice.ID)
 		r.exchange(attemptCtx, out)
 		if r.last.Outcome == upstream.Answered {
-			return &ingress.Response{Status: r.last.Response.Status, Header: r.last.Response.Header, Body: r.last.Response.Body}, "answered"
+			answer := r.last.Response
+			return &ingress.Response{Status: answer.Status, Header: answer.Header, Body: answer.Body, Release: answer.Release}, "answered"
 		}
 		if !r.last.Outcome.NotRun() {
 			r.mayHaveRun = true
@@ -241,7 +241,7 @@
 		return r.failure()
 	}
 	r.refund()
-	return refuse(http.StatusServiceUnavailable, capacityRetryAfter), refusal.String()
+	return ingress.Refuse(http.StatusServiceUnavailable, capacityRetryAfter), refusal.String()
 }
 
 // affinityKey returns the key whose requests prefer the same upstream: the object
@@ -271,13 +271,13 @@
 	switch {
 	case !r.mayHaveRun:
 		r.refund()
-		return refuse(http.StatusServiceUnavailable, capacityRetryAfter), "not_run"
+		return ingress.Refuse(http.StatusServiceUnavailable, capacityRetryAfter), "not_run"
 	case r.last.Outcome == upstream.Cancelled:
 		return &ingress.Response{}, "caller_left"
 	case r.last.Outcome == upstream.TimedOut:
-		return refuse(http.StatusGatewayTimeout, 0), "timed_out"
+		return ingress.Refuse(http.StatusGatewayTimeout, 0), "timed_out"
 	}
-	return refuse(http.StatusBadGateway, 0), "broken"
+	return ingress.Refuse(http.StatusBadGateway, 0), "broken"
 }
 
 // refund returns the customer's token for a request that has not run.
@@ -297,17 +297,7 @@
 			status, retryAfter, outcome = http.StatusTooManyRequests, refused.RetryAfter, "over_quota"
 		}
 	}
-	return refuse(status, retryAfter), outcome
-}
-
-// refuse returns a response that the host itself generates. It asks callers to retry
-// after the given time, unless that is 0.
-func refuse(status int, retryAfter time.Duration) *ingress.Response {
-	h := http.Header{}
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	}
-	return &ingress.Response{Status: status, Header: h}
+	return ingress.Refuse(status, retryAfter), outcome
 }
 
 // log writes the log line of a finished request.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,6 +28,9 @@
 	FirstStart bool
 }
 
+// memoryBytes returns the memory limit of the process in bytes.
+func (s Settings) memoryBytes() int64 { return int64(s.MemoryMegabyte) << 20 }
+
 // Listen holds the addresses on which a process listens.
 type Listen struct {
 	Callers   netip.AddrPort
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
 const (
@@ -29,6 +31,12 @@
 	// slowly.
 	writeTimeout    = 10 * time.Second
 	readBufferBytes = 4 << 10
+	// maxFramingBytes bounds the chunk headers and the trailer of a body. net/http
+	// itself rejects bodies with much more framing than content.
+	maxFramingBytes = 256 << 10
+	// memoryRetryAfter is the Retry-After when bodies hold their part of the memory:
+	// about the time in which a request is answered.
+	memoryRetryAfter = 400 * time.Millisecond
 )
 
 // keepAlive detects callers whose machine is unresponsive. The kernel resets their
@@ -69,6 +77,8 @@
 type limitedReader struct {
 	source    io.Reader
 	remaining int64
+	// exceeded is the error of a read beyond the limit.
+	exceeded error
 	// err is the error of the last read. The parser reports a line that it truncated
 	// as malformed.
 	err error
@@ -79,9 +89,14 @@
 
 func (*HeaderTooLargeError) Error() string { return "the header is larger than allowed" }
 
+// start begins a header or body of at most limit bytes.
+func (l *limitedReader) start(limit int64, exceeded error) {
+	l.remaining, l.exceeded = limit, exceeded
+}
+
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		l.err = &HeaderTooLargeError{}
+		l.err = l.exceeded
 		return 0, l.err
 	}
 	if int64(len(p)) > l.remaining {
@@ -139,7 +154,10 @@
 			return
 		}
 		p := &pendingRequest{response: make(chan *Response, 1), last: last}
-		go func() { p.response <- c.server.config.Handler(c.ctx, request) }()
+		go func() {
+			p.response <- c.server.config.Handler(c.ctx, request)
+			request.memory.Release()
+		}()
 		c.queue <- p
 		if last {
 			c.watchForDisconnect()
@@ -151,7 +169,7 @@
 // watchForDisconnect cancels the running requests if the caller disconnects before
 // the last response.
 func (c *conn) watchForDisconnect() {
-	c.limit.remaining = 1
+	c.limit.start(1, &HeaderTooLargeError{})
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
 		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, net.ErrClosed) {
@@ -161,9 +179,9 @@
 }
 
 // refuse queues an error response to a request that could not be read.
-func (c *conn) refuse(status int) {
+func (c *conn) refuse(status int, retryAfter time.Duration) {
 	p := &pendingRequest{response: make(chan *Response, 1), last: true}
-	p.response <- &Response{Status: status, Header: http.Header{}, Close: true}
+	p.response <- Refuse(status, retryAfter)
 	c.beginRequest()
 	c.queue <- p
 }
@@ -173,18 +191,22 @@
 func (c *conn) handleReadError(err error) {
 	var large *HeaderTooLargeError
 	var body *http.MaxBytesError
+	var memory *bytebudget.ExceededError
 	var bad *badRequestError
 	var slow *slowRequestError
 	var network net.Error
 	switch {
 	case errors.As(err, &large):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, 0)
 	case errors.As(err, &body):
-		c.refuse(http.StatusRequestEntityTooLarge)
+		c.refuse(http.StatusRequestEntityTooLarge, 0)
+	case errors.As(err, &memory):
+		// Nothing was sent upstream, so the request has not run.
+		c.refuse(http.StatusServiceUnavailable, memoryRetryAfter)
 	case errors.As(err, &bad):
-		c.refuse(http.StatusBadRequest)
+		c.refuse(http.StatusBadRequest, 0)
 	case errors.As(err, &slow):
-		c.refuse(http.StatusRequestTimeout)
+		c.refuse(http.StatusRequestTimeout, 0)
 	case errors.As(err, &network) && network.Timeout():
 		// The connection is idle. Requests that were read before are still answered.
 	default:
@@ -212,7 +234,7 @@
 // connection.
 func (c *conn) readRequest() (r *Request, last bool, err error) {
 	limits := c.server.config.Limits()
-	c.limit.remaining = int64(orDefault(limits.HeaderBytes, defaultHeaderBytes)) + readBufferBytes
+	c.limit.start(int64(orDefault(limits.HeaderBytes, defaultHeaderBytes))+readBufferBytes, &HeaderTooLargeError{})
 	if err := c.raw.SetReadDeadline(time.Now().Add(orDefault(limits.IdleTimeout, defaultIdleTimeout))); err != nil {
 		return nil, false, err
 	}
@@ -233,11 +255,11 @@
 	if err != nil {
 		return nil, false, c.classifyReadError(err)
 	}
-	body, err := c.readBody(parsed, orDefault(limits.BodyBytes, defaultBodyBytes))
+	body, memory, err := c.readBody(parsed, orDefault(limits.BodyBytes, defaultBodyBytes))
 	if err != nil {
 		return nil, false, err
 	}
-	return &Request{Request: parsed, Body: body, Received: received}, parsed.Close, nil
+	return &Request{Request: parsed, Body: body, Received: received, memory: memory}, parsed.Close, nil
 }
 
 // classifyReadError distinguishes a malformed request from an incomplete one.
@@ -257,30 +279,53 @@
 
 func (*slowRequestError) Error() string { return "the request did not arrive in time" }
 
-func (c *conn) readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request and returns its reservation.
+func (c *conn) readBody(r *http.Request, limit int64) ([]byte, *bytebudget.Account, error) {
+	memory := c.server.bodies.Open()
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, memory, nil
 	}
-	if r.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
+	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, nil, err
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, err
-		}
+	c.limit.start(limit+maxFramingBytes, &http.MaxBytesError{Limit: limit})
+	body, err := bytebudget.ReadAll(c.bodyReader(r), r.ContentLength, limit, memory)
+	if err == nil {
+		return body, memory, nil
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, err
+	memory.Release()
+	var tooLarge *http.MaxBytesError
+	var exceeded *bytebudget.ExceededError
+	if errors.As(err, &tooLarge) || errors.As(err, &exceeded) {
+		return nil, nil, err
 	}
-	c.limit.remaining = limit + readBufferBytes
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, c.classifyReadError(err)
+	return nil, nil, c.classifyReadError(err)
+}
+
+// bodyReader returns the body of a request. A caller that waits for 100 Continue is
+// asked for the body by the first read, for which memory is reserved then.
+func (c *conn) bodyReader(r *http.Request) io.Reader {
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		return &continueReader{conn: c.raw, body: r.Body}
 	}
-	if int64(len(body)) > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
+	return r.Body
+}
+
+// continueReader sends 100 Continue before the first read of a body.
+type continueReader struct {
+	conn io.Writer
+	body io.Reader
+	sent bool
+}
+
+func (r *continueReader) Read(p []byte) (int, error) {
+	if !r.sent {
+		r.sent = true
+		if _, err := io.WriteString(r.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return 0, err
+		}
 	}
-	return body, nil
+	return r.body.Read(p)
 }
 
 func orDefault[T int | int64 | time.Duration](value, fallback T) T {
@@ -334,6 +379,7 @@
 	done := false
 	for p := range c.queue {
 		if done {
+			go func() { (<-p.response).release() }()
 			continue
 		}
 		response := <-p.response
@@ -341,6 +387,7 @@
 		if response.Status == 0 || c.writeResponse(response, closesAfter) != nil {
 			done = true
 		}
+		response.release()
 		c.mu.Lock()
 		c.unanswered--
 		c.lastUsed = time.Now()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,11 +6,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
 // Server accepts and serves connections of callers.
 type Server struct {
 	config Config
+	// bodies is the memory for the bodies of requests that are being read or handled.
+	bodies *bytebudget.Budget
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -27,11 +31,13 @@
 	// MaxConnections is the maximum number of connections. When a further one
 	// arrives, one that has long been idle is closed, or the new one if none is idle.
 	MaxConnections int
+	// BodyBytes bounds the memory that bodies of requests hold together.
+	BodyBytes int64
 }
 
 // New returns a server.
 func New(c Config) *Server {
-	return &Server{config: c, conns: make(map[*conn]struct{})}
+	return &Server{config: c, bodies: bytebudget.New(c.BodyBytes), conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -114,6 +120,9 @@
 	return s.draining
 }
 
+// BodyBytes returns the memory reserved for bodies of requests.
+func (s *Server) BodyBytes() int64 { return s.bodies.Used() }
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -14,6 +14,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// testBodyBytes is the memory for bodies in tests.
+const testBodyBytes = 1 << 20
+
 // testServer is a running Server that reports the path of each request it starts.
 type testServer struct {
 	*Server
@@ -25,7 +28,7 @@
 	t.Helper()
 	r := &testServer{started: make(chan string, 64)}
 	r.Server = New(Config{
-		Limits: func() Limits { return limits }, MaxConnections: 8,
+		Limits: func() Limits { return limits }, MaxConnections: 8, BodyBytes: testBodyBytes,
 		Handler: func(ctx context.Context, request *Request) *Response {
 			r.started <- request.URL.Path
 			return handler(ctx, request)
--- a/ingress/types.go
+++ b/ingress/types.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
 // Fields are the values that a caller sets in the header of a request.
@@ -47,6 +49,8 @@
 type Request struct {
 	*http.Request
 	Body []byte
+	// memory is the reservation for Body, which ends when the handler returns.
+	memory *bytebudget.Account
 	// Received is when the first byte of the header arrived.
 	Received time.Time
 }
@@ -61,6 +65,25 @@
 	// Close closes the connection after the response, unless further requests have
 	// been read.
 	Close bool
+	// Release, if set, is called once the response has been written or dropped.
+	Release func()
+}
+
+// Refuse returns a response that the host itself generates. It asks callers to retry
+// after the given time, unless that is 0.
+func Refuse(status int, retryAfter time.Duration) *Response {
+	h := http.Header{}
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	return &Response{Status: status, Header: h}
+}
+
+// release calls Release.
+func (r *Response) release() {
+	if r.Release != nil {
+		r.Release()
+	}
 }
 
 // Handler serves a request. The context ends when the caller disconnects.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -12,11 +12,21 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
 const (
-	// maxResponseBytes bounds the size of a response, which is buffered until complete.
-	maxResponseBytes = 16 << 20
+	// maxBodyBytes bounds the body of a response, which is buffered until complete.
+	maxBodyBytes = 8 << 20
+	// maxHeaderBytes bounds the headers of a response, those of interim (1xx) responses
+	// before it included.
+	maxHeaderBytes = 32 << 10
+	// maxFramingBytes bounds the chunk headers and the trailer of a response. net/http
+	// itself rejects bodies with much more framing than content.
+	maxFramingBytes = 256 << 10
+	// maxInterimResponses bounds the interim responses before the final one.
+	maxInterimResponses = 8
 	// maxJoinedBodyBytes is the body size up to which header and body are sent in one write.
 	maxJoinedBodyBytes = 16 << 10
 	// maxForeignResponses is the number of responses to other requests that are skipped
@@ -32,11 +42,44 @@
 
 func (e *ForeignResponseError) Error() string { return "response to another request: " + e.Got }
 
-// TooLargeError reports a response larger than maxResponseBytes.
-type TooLargeError struct{}
+// TooLargeError reports a response of which a part exceeds its bound.
+type TooLargeError struct {
+	// Part is the part of the response, Bound its bound in bytes.
+	Part  string
+	Bound int64
+}
+
+func (e *TooLargeError) Error() string {
+	return "the " + e.Part + " of the response is larger than " + strconv.FormatInt(e.Bound, 10) + " bytes"
+}
+
+// InterimResponsesError reports more than maxInterimResponses interim responses.
+type InterimResponsesError struct{}
+
+func (*InterimResponsesError) Error() string {
+	return "more than " + strconv.Itoa(maxInterimResponses) + " interim responses"
+}
+
+// limitedReader limits the bytes that may be read for one part of a response.
+type limitedReader struct {
+	source    io.Reader
+	part      string
+	bound     int64
+	remaining int64
+}
 
-func (*TooLargeError) Error() string {
-	return "the response is larger than " + strconv.Itoa(maxResponseBytes) + " bytes"
+// start begins a part of a response.
+func (l *limitedReader) start(part string, bound int64) {
+	l.part, l.bound, l.remaining = part, bound, bound
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, &TooLargeError{Part: l.part, Bound: l.bound}
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
 }
 
 // pastDeadline is a deadline that interrupts reads and writes immediately.
@@ -46,10 +89,18 @@
 type Client struct {
 	codec Codec
 	pool  *pool
+	// responses is the memory for the bodies of responses that are being read.
+	responses *bytebudget.Budget
 }
 
-// NewClient returns a client without open connections.
-func NewClient(codec Codec) *Client { return &Client{codec: codec, pool: newPool()} }
+// NewClient returns a client without open connections. Bodies that are being read hold
+// at most responseBytes together.
+func NewClient(codec Codec, responseBytes int64) *Client {
+	return &Client{codec: codec, pool: newPool(), responses: bytebudget.New(responseBytes)}
+}
+
+// ResponseBytes returns the bytes reserved for bodies that are being read.
+func (c *Client) ResponseBytes() int64 { return c.responses.Used() }
 
 // CloseIdle closes the idle connections to an upstream that was removed.
 func (c *Client) CloseIdle(t Target) { c.pool.closeIdle(t.Address) }
@@ -96,7 +147,7 @@
 	if conn == nil {
 		opened, err := e.client.pool.open(e.ctx, e.target.Address)
 		if err != nil {
-			if e.ctx.Err() != nil {
+			if errors.Is(e.ctx.Err(), context.Canceled) {
 				return Result{Outcome: Cancelled, Err: err}
 			}
 			return Result{Outcome: Unreachable, Err: err}
@@ -164,6 +215,9 @@
 	if !sentWhole || conn.reader.Buffered() > 0 {
 		idleFor = 0
 	}
+	if response.WrongTarget || response.NotRun {
+		response.Release()
+	}
 	switch {
 	case response.WrongTarget:
 		return Result{Outcome: Misdirected, Response: response}, idleFor
@@ -220,7 +274,7 @@
 // returns how long the connection may stay idle.
 func (e *exchange) read(conn *connection) (*Response, time.Duration, error) {
 	for skipped := 0; ; skipped++ {
-		response, idleFor, err := e.readOne(conn.reader)
+		response, idleFor, err := e.readOne(conn)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -231,6 +285,7 @@
 			}
 			return response, idleFor, nil
 		}
+		response.Release()
 		if skipped == maxForeignResponses || idleFor <= 0 {
 			return nil, 0, &ForeignResponseError{Got: response.RequestID}
 		}
@@ -238,31 +293,40 @@
 }
 
 // readOne reads the next final response, skipping interim (1xx) ones.
-func (e *exchange) readOne(reader *bufio.Reader) (*Response, time.Duration, error) {
-	methodOnly := http.Request{Method: e.request.Method}
-	raw, err := http.ReadResponse(reader, &methodOnly)
-	for err == nil && raw.StatusCode >= 100 && raw.StatusCode < 200 {
-		raw, err = http.ReadResponse(reader, &methodOnly)
-	}
+func (e *exchange) readOne(conn *connection) (*Response, time.Duration, error) {
+	conn.limit.start("header", maxHeaderBytes)
+	raw, err := e.readHeader(conn.reader)
 	if err != nil {
 		return nil, 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(raw.Body, maxResponseBytes+1))
+	conn.limit.start("body", maxBodyBytes+maxFramingBytes)
+	memory := e.client.responses.Open()
+	body, err := bytebudget.ReadAll(raw.Body, raw.ContentLength, maxBodyBytes, memory)
 	if err != nil {
+		memory.Release()
 		return nil, 0, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, 0, &TooLargeError{}
-	}
 	idleFor := time.Duration(0)
 	if !raw.Close {
 		idleFor = idleTimeout(raw.Header)
 	}
 	RemoveConnectionHeaders(raw.Header)
-	response := &Response{Status: raw.StatusCode, Header: raw.Header, Body: body, Fields: e.client.codec.Response(raw)}
+	response := &Response{Status: raw.StatusCode, Header: raw.Header, Body: body, Fields: e.client.codec.Response(raw), memory: memory}
 	return response, idleFor, nil
 }
 
+// readHeader reads headers up to that of a final response.
+func (e *exchange) readHeader(reader *bufio.Reader) (*http.Response, error) {
+	methodOnly := http.Request{Method: e.request.Method}
+	for range maxInterimResponses + 1 {
+		raw, err := http.ReadResponse(reader, &methodOnly)
+		if err != nil || raw.StatusCode < 100 || raw.StatusCode >= 200 {
+			return raw, err
+		}
+	}
+	return nil, &InterimResponsesError{}
+}
+
 // classifyError returns the result of an exchange whose response could not be read.
 func (e *exchange) classifyError(err error) Result {
 	switch {
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -30,6 +30,9 @@
 	return Fields{RequestID: r.Header.Get("Id"), NotRun: r.Header.Get("Not-Run") != "", WrongTarget: r.StatusCode == http.StatusMisdirectedRequest}
 }
 
+// testResponseBytes is the memory for responses in tests.
+const testResponseBytes = 64 << 20
+
 // connectionHandler answers the requests on one connection. The connection is closed
 // when it returns.
 type connectionHandler func(s *stubServer, c net.Conn, requests *bufio.Reader)
@@ -109,7 +112,7 @@
 
 func TestConnectionIsReusedAfterCompleteResponse(t *testing.T) {
 	s := startStub(t, respondToEach(func(id string) string { return okResponse(id, "body of "+id) }))
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	for _, id := range []string{"1", "2", "3"} {
 		result := exchangeWith(t, c, s, request(id))
 		require.Equal(t, Answered, result.Outcome)
@@ -121,7 +124,7 @@
 // Guards against taking a late or duplicate response for the response to the next request.
 func TestForeignResponsesAreSkippedAndConnectionClosed(t *testing.T) {
 	s := startStub(t, respondToEach(func(id string) string { return okResponse("other", "wrong") + okResponse(id, "right") }))
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	for i := range 3 {
 		result := exchangeWith(t, c, s, request(fmt.Sprint(i)))
 		require.Equal(t, Answered, result.Outcome)
@@ -132,7 +135,7 @@
 
 func TestExtraResponseClosesConnection(t *testing.T) {
 	s := startStub(t, respondToEach(func(id string) string { return okResponse(id, "right") + okResponse(id, "extra") }))
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	for range 3 {
 		result := exchangeWith(t, c, s, request("same"))
 		require.Equal(t, "right", string(result.Response.Body))
@@ -154,7 +157,7 @@
 				s.readRequest(r)
 				_, _ = io.WriteString(c, text)
 			})
-			result := exchangeWith(t, NewClient(testCodec{}), s, request("1"))
+			result := exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, request("1"))
 			require.Equal(t, Broken, result.Outcome)
 			require.Nil(t, result.Response)
 			require.False(t, result.Outcome.NotRun())
@@ -176,7 +179,7 @@
 					_ = c.(*net.TCPConn).SetLinger(0)
 				}
 			})
-			result := exchangeWith(t, NewClient(testCodec{}), s, request("1"))
+			result := exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, request("1"))
 			if reset {
 				require.Equal(t, Broken, result.Outcome)
 				return
@@ -198,7 +201,7 @@
 		}
 		return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
 	}))
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	require.Equal(t, Refused, exchangeWith(t, c, s, request("full")).Outcome)
 	require.Equal(t, Misdirected, exchangeWith(t, c, s, request("moved")).Outcome)
 	require.Equal(t, Answered, exchangeWith(t, c, s, request("ran")).Outcome)
@@ -220,7 +223,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: "+head.Header.Get("Id")+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		time.Sleep(time.Second)
 	})
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	long := request("1")
 	long.Method, long.Body = "POST", []byte(strings.Repeat("x", 32<<20))
 	require.Equal(t, Refused, exchangeWith(t, c, s, long).Outcome)
@@ -243,7 +246,7 @@
 		}
 		cancel()
 	}()
-	result := NewClient(testCodec{}).Exchange(ctx, s.target, request("1"), Attempt{})
+	result := NewClient(testCodec{}, testResponseBytes).Exchange(ctx, s.target, request("1"), Attempt{})
 	require.Equal(t, Cancelled, result.Outcome)
 	select {
 	case <-ended:
@@ -261,7 +264,7 @@
 	s := startStub(t, respondToEach(func(id string) string {
 		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"
 	}))
-	c := NewClient(testCodec{})
+	c := NewClient(testCodec{}, testResponseBytes)
 	exchangeWith(t, c, s, request("1"))
 	exchangeWith(t, c, s, request("2"))
 	require.EqualValues(t, 2, s.connections.Load())
@@ -277,7 +280,7 @@
 			_, _ = io.WriteString(c, okResponse("1", ""))
 		}
 	})
-	exchangeWith(t, NewClient(testCodec{}), s, request("1"))
+	exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, request("1"))
 	h := <-seen
 	require.NotContains(t, fmt.Sprint(h), "secret")
 	require.Equal(t, "u", h.Get("Target"))
@@ -295,7 +298,7 @@
 	defer close(release)
 	r := request("1")
 	r.Method, r.Body = "POST", make([]byte, 12<<20)
-	result := exchangeWith(t, NewClient(testCodec{}), s, r)
+	result := exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, r)
 	require.Equal(t, Broken, result.Outcome)
 	require.True(t, result.Unresponsive)
 	require.Less(t, result.Took, 3*time.Second)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -30,7 +30,7 @@
 	// peer does not acknowledge sent data. It leaves room for a round trip between regions
 	// (110 ms) and two lost packets (retransmitted after 0.3 and 0.6 s).
 	unacknowledgedTimeout = 800 * time.Millisecond
-	// readBufferBytes bounds the header of a response.
+	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
 )
 
@@ -41,6 +41,8 @@
 // connection is a connection to an upstream with its read buffer.
 type connection struct {
 	net.Conn
+	// limit bounds the bytes that reader may read.
+	limit  *limitedReader
 	reader *bufio.Reader
 	// used is true if the connection has carried a request.
 	used bool
@@ -110,7 +112,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConnection(raw), nil
+}
+
+func newConnection(raw net.Conn) *connection {
+	limit := &limitedReader{source: raw}
+	return &connection{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // put makes a connection available for reuse, for at most idleFor.
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
 // Attempt holds what the header of a request states about one attempt.
@@ -63,8 +64,14 @@
 	Header http.Header
 	Body   []byte
 	Fields
+	// memory is the reservation for Body.
+	memory *bytebudget.Account
 }
 
+// Release returns the memory that is reserved for the body. It must be called once the
+// body of an answered request is no longer needed.
+func (r *Response) Release() { r.memory.Release() }
+
 // Outcome classifies an attempt.
 type Outcome uint8
 
