Planned stop: answer requests that have arrived but were not read

Change: a connection is idle only if it has carried a request, or has been open for 1 s, and has nothing unread; Server.StopAccepting serves the backlog before it closes the listener; Wait closes what has become idle. IsIdle no longer waits for a concurrent read.

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/catkinspring/catkinspring/gossip"
@@ -25,7 +26,9 @@
 	e.loop.Post(e.modules.gossip, gossip.SetSelf{Leaving: true})
 	e.server.Drain()
 	time.Sleep(min(acceptAfterStop, e.Settings.Bounds.StopGrace/2))
-	_ = e.listeners.callers.Close()
+	if err := e.server.StopAccepting(e.listeners.callers.(*net.TCPListener)); err != nil {
+		e.log.Warn().Err(err).Msg("closing the callers' listener")
+	}
 	remaining := e.Settings.Bounds.StopGrace - stopMargin - time.Since(started)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
 	defer cancel()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
+	"github.com/catkinspring/catkinspring/upstream"
 )
 
 const (
@@ -64,6 +65,8 @@
 	closing    bool
 	// lastUsed is when the last response was written or the connection opened.
 	lastUsed time.Time
+	// used is true once a response was written.
+	used bool
 }
 
 // pendingRequest is a request that was read and is not answered yet.
@@ -353,12 +356,19 @@
 	return c.closing
 }
 
+// newConnectionGrace is how long a connection without a request is not considered
+// idle: its caller has opened it to send one.
+const newConnectionGrace = time.Second
+
 // closeIfIdle closes a connection without unanswered requests, and reports whether
-// it did.
+// it did. A request that has arrived but was not read counts as unanswered.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 || c.closing {
+	if c.unanswered > 0 || c.closing || !c.used && time.Since(c.lastUsed) < newConnectionGrace {
+		return false
+	}
+	if !upstream.IsIdle(c.raw) {
 		return false
 	}
 	c.closing = true
@@ -390,7 +400,7 @@
 		response.release()
 		c.mu.Lock()
 		c.unanswered--
-		c.lastUsed = time.Now()
+		c.lastUsed, c.used = time.Now(), true
 		c.mu.Unlock()
 		if done || closesAfter {
 			done = true
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
@@ -40,11 +43,11 @@
 	return &Server{config: c, bodies: bytebudget.New(c.BodyBytes), conns: make(map[*conn]struct{})}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed or StopAccepting is called.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -56,6 +59,36 @@
 	}
 }
 
+// StopAccepting ends Serve, serves the connections that the kernel has already
+// accepted, and closes the listener. Closing it alone would reset them.
+func (s *Server) StopAccepting(l *net.TCPListener) error {
+	err := l.SetDeadline(time.Unix(1, 0))
+	raw, rawErr := l.SyscallConn()
+	err = errors.Join(err, rawErr)
+	if rawErr == nil {
+		err = errors.Join(err, raw.Control(func(fd uintptr) {
+			for {
+				accepted, _, acceptErr := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+				if acceptErr != nil {
+					return // usually EAGAIN: the backlog is empty
+				}
+				s.startAccepted(accepted)
+			}
+		}))
+	}
+	return errors.Join(err, l.Close())
+}
+
+// startAccepted serves a connection that was accepted by a system call.
+func (s *Server) startAccepted(fd int) {
+	file := os.NewFile(uintptr(fd), "caller")
+	defer func() { _ = file.Close() }()
+	// FileConn duplicates the descriptor.
+	if raw, err := net.FileConn(file); err == nil {
+		s.startConn(raw)
+	}
+}
+
 // acceptRetryInterval is the wait after a failed accept.
 const acceptRetryInterval = 20 * time.Millisecond
 
@@ -104,11 +137,16 @@
 func (s *Server) NearConnectionLimit() bool { return s.Connections() > s.config.MaxConnections/2 }
 
 // Drain closes idle connections at once, and the others after the responses to the
-// requests that were read.
+// requests that have arrived. New connections may still send their first request.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
+	s.closeAllIdle()
+}
+
+// closeAllIdle closes the idle connections. s.mu must be held.
+func (s *Server) closeAllIdle() {
 	for c := range s.conns {
 		c.closeIfIdle()
 	}
@@ -130,15 +168,30 @@
 	return len(s.conns)
 }
 
-// Wait waits until all connections are closed or the context ends.
+// closeIdleInterval is the interval in which Wait closes connections that have become
+// idle without a response, because their callers have sent nothing.
+const closeIdleInterval = 200 * time.Millisecond
+
+// Wait waits until all connections are closed or the context ends. Drain must have
+// been called.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		s.group.Wait()
 	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	ticker := time.NewTicker(closeIdleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.mu.Lock()
+			s.closeAllIdle()
+			s.mu.Unlock()
+		}
 	}
 }
--- a/upstream/quiet.go
+++ b/upstream/quiet.go
@@ -6,7 +6,8 @@
 )
 
 // IsIdle reports whether a connection is still open and has no unread bytes. Unread
-// bytes between two requests belong to a late or duplicate response.
+// bytes between two requests belong to a late or duplicate response. It may be called
+// while another goroutine reads.
 func IsIdle(c net.Conn) bool {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
@@ -17,10 +18,9 @@
 		return false
 	}
 	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var buf [1]byte
 		_, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && (peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK)
 }
