Choose an upstream in one pass without sorting or allocation

Change: usable upstreams are grouped by region when membership changes, with their hashes; a choice keeps the best two in one pass. Whether this host warms up an upstream is kept until the list of hosts changes.

--- a/steering/cold.go
+++ b/steering/cold.go
@@ -64,10 +64,18 @@
 	return true
 }
 
-// isWarmupHost reports whether this host is a warm-up host of an upstream: one of the
-// first by rendezvous hashing among the hosts in the upstream's region, or among all
-// hosts if that region has none.
+// isWarmupHost reports whether this host is a warm-up host of an upstream. It determines
+// that once for each list of hosts.
 func (t *Table) isWarmupHost(m *member) bool {
+	if m.warmupHostList != t.hostList {
+		m.warmupHost, m.warmupHostList = t.findWarmupHost(m), t.hostList
+	}
+	return m.warmupHost
+}
+
+// findWarmupHost reports whether this host is one of the first by rendezvous hashing
+// among the hosts in the upstream's region, or among all hosts if that region has none.
+func (t *Table) findWarmupHost(m *member) bool {
 	sameRegion := t.config.Location.Region == m.Location.Region
 	regionHasHosts := false
 	for _, h := range t.hosts {
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -80,6 +80,7 @@
 }
 
 // candidate is an upstream that may serve a request, with its rendezvous hash and load.
+// The zero candidate has no member.
 type candidate struct {
 	*member
 	score uint64
@@ -98,120 +99,149 @@
 	if p.plan.updatedAt == 0 {
 		t.replan(now, p)
 	}
-	region, any := t.region(p, r)
-	if !any {
+	region := t.region(p, &r)
+	if region == nil {
 		return Choice{}, NoUpstream
 	}
-	list := t.candidates(now, p, r, region)
-	index := t.choose(now, r, list)
-	if index < 0 {
-		return Choice{Region: region}, Full
+	c := t.choose(now, &r, region.members)
+	if c.member == nil {
+		return Choice{Region: region.name}, Full
 	}
-	m := list[index]
-	m.inFlight++
+	c.inFlight++
 	p.picks++
 	return Choice{
-		Target: upstream.Target{ID: m.ID, Address: m.Address},
-		Region: region, Load: m.load, Slots: m.Slots, Rank: index, Cold: m.limiter.active(now),
+		Target: upstream.Target{ID: c.ID, Address: c.Address},
+		Region: region.name, Load: c.load, Slots: c.Slots, Rank: r.rank(c, region.members), Cold: c.limiter.active(now),
 	}, Chosen
 }
 
 // region returns the region for an object: the one at the position of its hash in
 // the plan, restricted to the regions that are allowed and have usable upstreams. If
 // the plan has none of these, it returns the local region if it is one of them, and
-// otherwise selects one by rendezvous hashing.
-func (t *Table) region(p *pool, r Request) (fleet.Region, bool) {
-	available := make(map[fleet.Region]bool, 4)
-	for _, m := range p.members {
-		if t.usable(m) && (r.Allowed == nil || slices.Contains(r.Allowed, m.Location.Region)) && !slices.Contains(r.Exclude, m.ID) {
-			available[m.Location.Region] = true
-		}
-	}
-	if len(available) == 0 {
-		return "", false
-	}
+// otherwise selects one by rendezvous hashing. It returns nil if there is none.
+func (t *Table) region(p *pool, r *Request) *regionPool {
 	sum := 0.0
 	for _, planned := range p.plan.shares {
-		if available[planned.region] {
+		if p.available(planned.region, r) != nil {
 			sum += planned.share
 		}
 	}
 	point := float64(mix(r.Affinity, 1)>>11) / (1 << 53) * sum
 	for _, planned := range p.plan.shares {
-		if !available[planned.region] || planned.share <= 0 {
+		region := p.available(planned.region, r)
+		if region == nil || planned.share <= 0 {
 			continue
 		}
 		if point < planned.share {
-			return planned.region, true
+			return region
 		}
 		point -= planned.share
 	}
-	if available[t.config.Location.Region] {
-		return t.config.Location.Region, true
+	if local := p.available(t.config.Location.Region, r); local != nil {
+		return local
 	}
-	best, score := fleet.Region(""), uint64(0)
-	for region := range available {
-		if s := mix(xxhash.Sum64String(string(region)), r.Affinity); best == "" || s > score {
-			best, score = region, s
+	var best *regionPool
+	for i := range p.regions {
+		region := p.available(p.regions[i].name, r)
+		if region != nil && (best == nil || mix(region.hash, r.Affinity) > mix(best.hash, r.Affinity)) {
+			best = region
 		}
 	}
-	return best, true
+	return best
 }
 
-// candidates returns the usable upstreams of a region, ordered by rendezvous hashing.
-func (t *Table) candidates(now machine.Instant, p *pool, r Request, region fleet.Region) []candidate {
-	list := make([]candidate, 0, len(p.members))
-	for _, m := range p.members {
-		if m.Location.Region != region || !t.usable(m) || slices.Contains(r.Exclude, m.ID) {
-			continue
-		}
-		list = append(list, candidate{member: m, score: mix(xxhash.Sum64String(string(m.ID)), r.Affinity), load: m.load(now)})
+// available returns the upstreams of a region if one of them may serve a request.
+func (p *pool) available(name fleet.Region, r *Request) *regionPool {
+	if r.Allowed != nil && !slices.Contains(r.Allowed, name) {
+		return nil
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.score > b.score {
-			return -1
+	for i := range p.regions {
+		region := &p.regions[i]
+		if region.name == name && slices.ContainsFunc(region.members, func(m *member) bool { return !slices.Contains(r.Exclude, m.ID) }) {
+			return region
 		}
-		return 1
-	})
-	return list
+	}
+	return nil
 }
 
-// choose returns the index of the chosen candidate, or -1. It considers the first two
-// healthy candidates that are warm, and cold ones before them. Requests sent further
-// down the order find cold caches, take three times as long and evict what the
-// upstream has cached, which turns a short overload into a lasting one.
-func (t *Table) choose(now machine.Instant, r Request, list []candidate) int {
-	first, second := -1, -1
-	for i := range list {
-		if !t.healthy(now, &list[i]) {
-			continue
-		}
-		if list[i].limiter.active(now) {
-			if list[i].load < float64(list[i].Slots) && t.admit(now, list[i].member) {
-				return i
-			}
-			continue
-		}
-		if first < 0 {
-			first = i
-			continue
+// score returns the position of an upstream in the order of the requested object, in
+// which the highest score is first (rendezvous hashing).
+func (r *Request) score(m *member) uint64 { return mix(m.hash, r.Affinity) }
+
+// rank returns the number of upstreams ahead of a candidate in the order of the object.
+func (r *Request) rank(c candidate, members []*member) int {
+	ahead := 0
+	for _, m := range members {
+		if r.score(m) > c.score && !slices.Contains(r.Exclude, m.ID) {
+			ahead++
 		}
-		second = i
-		break
+	}
+	return ahead
+}
+
+// choose returns the chosen upstream of a region, or the zero candidate. It considers
+// the first two healthy upstreams that are warm, and cold ones before the second of
+// them. Requests sent further down the order find cold caches, take three times as long
+// and evict what the upstream has cached, which turns a short overload into a lasting
+// one.
+func (t *Table) choose(now machine.Instant, r *Request, members []*member) candidate {
+	first, second := t.firstWarm(now, r, members)
+	if cold := t.firstCold(now, r, members, second.score); cold.member != nil {
+		return cold
 	}
 	switch {
-	case first < 0:
-		return -1
-	case list[first].utilization() <= maxFirstUtilization:
+	case first.member == nil:
+		return candidate{}
+	case first.utilization() <= maxFirstUtilization:
 		return first
-	case second >= 0 && list[second].utilization() <= maxSecondUtilization:
+	case second.member != nil && second.utilization() <= maxSecondUtilization:
 		return second
-	case list[first].utilization() <= r.MaxUtilization:
+	case first.utilization() <= r.MaxUtilization:
 		return first
-	case second >= 0 && list[second].utilization() <= r.MaxUtilization:
+	case second.member != nil && second.utilization() <= r.MaxUtilization:
 		return second
 	}
-	return -1
+	return candidate{}
+}
+
+// firstWarm returns the first two healthy and warm upstreams in the order of the object.
+func (t *Table) firstWarm(now machine.Instant, r *Request, members []*member) (first, second candidate) {
+	for _, m := range members {
+		score := r.score(m)
+		if score <= second.score || m.limiter.active(now) || !m.healthy(now) || slices.Contains(r.Exclude, m.ID) {
+			continue
+		}
+		if second = (candidate{member: m, score: score}); score > first.score {
+			first, second = second, first
+		}
+	}
+	for _, c := range []*candidate{&first, &second} {
+		if c.member != nil {
+			c.load = c.member.load(now)
+		}
+	}
+	return first, second
+}
+
+// firstCold returns the first cold upstream with a score above min that is healthy, has
+// a free slot and may get a request of this host.
+func (t *Table) firstCold(now machine.Instant, r *Request, members []*member, min uint64) candidate {
+	for below := uint64(math.MaxUint64); ; {
+		next := candidate{score: min}
+		for _, m := range members {
+			if score := r.score(m); score > next.score && score < below && m.limiter.active(now) &&
+				t.isWarmupHost(m) && m.healthy(now) && !slices.Contains(r.Exclude, m.ID) {
+				next = candidate{member: m, score: score}
+			}
+		}
+		if next.member == nil {
+			return candidate{}
+		}
+		if next.load = next.member.load(now); next.load < float64(next.Slots) && t.admit(now, next.member) {
+			return next
+		}
+		below = next.score
+	}
 }
 
 // utilization returns the load per slot of an upstream with one more request.
@@ -229,9 +259,9 @@
 
 // healthy reports whether an upstream is neither ejected nor failing too often. One
 // whose last attempts failed gets a single request at a time until it answers.
-func (t *Table) healthy(now machine.Instant, c *candidate) bool {
-	if now < c.ejectedUntil || c.failures > 0 && c.inFlight > 0 {
+func (m *member) healthy(now machine.Instant) bool {
+	if now < m.ejectedUntil || m.failures > 0 && m.inFlight > 0 {
 		return false
 	}
-	return c.currentFailureRate(now) <= outlierRate
+	return m.currentFailureRate(now) <= outlierRate
 }
--- a/steering/table.go
+++ b/steering/table.go
@@ -2,9 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -48,6 +51,8 @@
 // member is the state that this host keeps for an upstream.
 type member struct {
 	catalog.Upstream
+	// hash is the hash of the ID, for rendezvous hashing.
+	hash uint64
 	// missingSince is when the entry was found missing after an outage; 0 if it is
 	// present.
 	missingSince machine.Instant
@@ -66,6 +71,14 @@
 	failureRateAt machine.Instant
 
 	limiter warmupLimiter
+	// warmupHost is true if this host is a warm-up host of the upstream, according to
+	// the list of hosts with the number warmupHostList; see isWarmupHost.
+	warmupHost     bool
+	warmupHostList int
+}
+
+func newMember(item catalog.Upstream) *member {
+	return &member{Upstream: item, hash: xxhash.Sum64String(string(item.ID)), warmupHostList: -1}
 }
 
 // Table chooses upstreams. It is safe for concurrent use.
@@ -77,7 +90,9 @@
 	services  map[fleet.Pool]*pool
 	evacuated map[fleet.FailureDomain]bool
 	hosts     []catalog.Host
-	warmup    map[fleet.Pool]Warmup
+	// hostList counts the calls of SetHosts.
+	hostList int
+	warmup   map[fleet.Pool]Warmup
 	// demand is the rate of requests that arrive in each region, per second.
 	demand map[fleet.Region]float64
 	// listed is set by the first complete list. Upstreams that are added later are cold.
@@ -95,6 +110,8 @@
 type pool struct {
 	name    fleet.Pool
 	members []*member
+	// regions holds the usable members by region, sorted by name.
+	regions []regionPool
 	plan    plan
 	// serviceTime is the moving average (EWMA) of the time that an upstream takes to
 	// answer, in seconds; 0 before the first answer.
@@ -107,6 +124,14 @@
 	requestRate float64
 }
 
+// regionPool holds the usable upstreams of one service in one region.
+type regionPool struct {
+	name fleet.Region
+	// hash is the hash of the name, for rendezvous hashing.
+	hash    uint64
+	members []*member
+}
+
 const (
 	// serviceTimeWeight is the weight of one answer in the average service time.
 	serviceTimeWeight = 0.05
@@ -168,7 +193,7 @@
 	m := t.members[item.ID]
 	switch {
 	case m == nil:
-		m = &member{Upstream: item}
+		m = newMember(item)
 		t.members[item.ID] = m
 		changed = append(changed, UpstreamChange{item.ID, item.Service, "added"})
 		if t.listed {
@@ -176,7 +201,8 @@
 		}
 	case m.StartedMillis != item.StartedMillis:
 		inFlight := m.inFlight
-		*m = member{Upstream: item, inFlight: inFlight}
+		*m = *newMember(item)
+		m.inFlight = inFlight
 		m.limiter.start(now, t.warmup[item.Service].SlowStart)
 		changed = append(changed, UpstreamChange{item.ID, item.Service, "started again"})
 	case m.Draining != item.Draining:
@@ -227,6 +253,7 @@
 	for _, d := range domains {
 		t.evacuated[d] = true
 	}
+	t.rebuildPools()
 }
 
 // SetHosts replaces the entry hosts among which the warm-up rate of cold upstreams is
@@ -235,6 +262,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hosts = slices.Clone(hosts)
+	t.hostList++
 }
 
 // SetWarmup replaces the warm-up settings of all services.
@@ -266,6 +294,23 @@
 		}
 		p.members = append(p.members, m)
 	}
+	for _, p := range t.services {
+		t.groupByRegion(p)
+	}
+}
+
+// groupByRegion sets the regions of a pool.
+func (t *Table) groupByRegion(p *pool) {
+	for _, m := range p.members {
+		if !t.usable(m) {
+			continue
+		}
+		i, found := slices.BinarySearchFunc(p.regions, m.Location.Region, func(r regionPool, name fleet.Region) int { return strings.Compare(string(r.name), string(name)) })
+		if !found {
+			p.regions = slices.Insert(p.regions, i, regionPool{name: m.Location.Region, hash: xxhash.Sum64String(string(m.Location.Region))})
+		}
+		p.regions[i].members = append(p.regions[i].members, m)
+	}
 }
 
 // usable reports whether an upstream may get requests, that is, whether it is neither
