Limits: move a host to another region in the test of divisions

Cause: the test of moved a host to the region it was in already, and was committed red by mistake. Change: it moves to region 0. Result: the test passes; with divisionOf called for each view, it fails at the first check.

--- a/limits/view_test.go
+++ b/limits/view_test.go
@@ -44,6 +44,6 @@
 	require.Zero(t, change(func(v *fleet.View) { v.Members[2].Incarnation = fleet.Incarnation{1} }))
 	require.Zero(t, change(func(v *fleet.View) { v.Members[3].State = fleet.StateLeaving }))
 	require.Equal(t, 10, change(func(v *fleet.View) { v.Members = v.Members[:29] }))
-	require.Equal(t, 10, change(func(v *fleet.View) { v.Members[4].Region = "1" }))
+	require.Equal(t, 10, change(func(v *fleet.View) { v.Members[4].Region = "0" }))
 	require.Equal(t, 10, change(func(v *fleet.View) { v.Members[4].Weight-- }))
 }
