Expire requests by a clock that counts suspensions; answers to HEAD hold no memory

The bound on bodies took the length that an answer to HEAD announces for a body. Change: timeLeft takes the earlier of both clocks; a response without body reserves nothing.

--- a/edge/request.go
+++ b/edge/request.go
@@ -10,6 +10,7 @@
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/ingress"
 	"github.com/catkinspring/catkinspring/logsink"
+	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/policy"
 	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/steering"
@@ -51,6 +52,9 @@
 	// admission is the token taken from the customer's limit; nil without a limit.
 	admission traffic.Admission
 	deadline  time.Time
+	// expires is the deadline on the host's clock, which counts suspensions of the
+	// machine; the runtime's clock, on which deadline lies, does not.
+	expires machine.Instant
 
 	// tried are the upstreams to which the request was sent.
 	tried []fleet.Upstream
@@ -159,6 +163,12 @@
 		timeout = min(timeout, r.route.Timeout)
 	}
 	r.deadline = r.in.Received.Add(timeout)
+	r.expires = r.e.now().Add(time.Until(r.deadline))
+}
+
+// timeLeft returns the time until the caller stops waiting.
+func (r *request) timeLeft() time.Duration {
+	return min(time.Until(r.deadline), r.expires.Sub(r.e.now()))
 }
 
 // attempts sends the request to upstreams until one responds. callerCtx ends when
@@ -190,7 +200,7 @@
 func (r *request) exchange(attemptCtx context.Context, out *upstream.Request) {
 	inFlight := r.e.inFlightRequests.ForUpstream(r.choice.ID)
 	inFlight.Add(r.fingerprint)
-	attempt := upstream.Attempt{Target: r.choice.ID, Customer: r.customerName(), TimeLeft: time.Until(r.deadline)}
+	attempt := upstream.Attempt{Target: r.choice.ID, Customer: r.customerName(), TimeLeft: r.timeLeft()}
 	r.last = r.e.upstream.Exchange(attemptCtx, r.choice.Target, out, attempt)
 	inFlight.Remove(r.fingerprint)
 	r.reportAttempt()
@@ -223,7 +233,7 @@
 	if callerCtx.Err() == context.Canceled {
 		return &ingress.Response{}, "caller_left"
 	}
-	if time.Until(r.deadline) < minTimeLeft {
+	if r.timeLeft() < minTimeLeft {
 		return r.failure()
 	}
 	choice, refusal := r.e.steering.Pick(r.e.now(), steering.Request{
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -130,6 +130,20 @@
 	require.Zero(t, s.requests.Load())
 }
 
+// Guards against memory that is reserved for the body of an answer to HEAD, which has
+// none.
+func TestAnswerToHeadMayAnnounceAnyLength(t *testing.T) {
+	s := startStub(t, func(s *stubServer, c net.Conn, r *bufio.Reader) {
+		s.readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9000000000\r\n\r\n")
+	})
+	r := request("1")
+	r.Method = "HEAD"
+	result := exchangeWith(t, NewClient(testCodec{}, 4<<20), s, r)
+	require.Equal(t, Answered, result.Outcome, result.Err)
+	require.Empty(t, result.Response.Body)
+}
+
 // FuzzReadResponse checks that no bytes of an upstream make the reader panic, hold
 // memory after the exchange, or take an answer with another ID for this request's.
 func FuzzReadResponse(f *testing.F) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -300,8 +300,13 @@
 		return nil, 0, err
 	}
 	conn.limit.start("body", maxBodyBytes+maxFramingBytes)
+	length := raw.ContentLength
+	if raw.Body == http.NoBody {
+		// A response to HEAD announces the length of a body that does not follow.
+		length = 0
+	}
 	memory := e.client.responses.Open()
-	body, err := bytebudget.ReadAll(raw.Body, raw.ContentLength, maxBodyBytes, memory)
+	body, err := bytebudget.ReadAll(raw.Body, length, maxBodyBytes, memory)
 	if err != nil {
 		memory.Release()
 		return nil, 0, err
