Log since when and for how long an upstream is cold

The line 'upstream changed' has the remaining warm-up time and whether this host is a warm-up host, a report of coldness without a new start gets a line of its own, and upstreams.cold counts them. No decision changes.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -33,7 +33,7 @@
 		for _, evacuation := range evacuated {
 			domains = append(domains, evacuation.FailureDomain)
 		}
-		e.steering.SetEvacuated(domains)
+		e.steering.SetEvacuated(e.now(), domains)
 		e.log.Info().Any("domains", domains).Uint64("store", u.Revision).Msg("evacuations changed")
 	})
 	hosts := objectMap[catalog.Host]{}
@@ -226,8 +226,12 @@
 		return
 	}
 	for _, c := range changed {
-		e.log.Info().Str("upstream", string(c.Upstream)).Str("service", string(c.Service)).Str("change", c.Description).
-			Uint64("store", revision).Msg("upstream changed")
+		line := e.log.Info().Str("upstream", string(c.Upstream)).Str("service", string(c.Service)).Str("change", c.Description).
+			Uint64("store", revision)
+		if c.ColdFor > 0 {
+			line = line.Dur("cold_for", c.ColdFor).Bool("warmup_host", c.WarmupHost)
+		}
+		line.Msg("upstream changed")
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -92,6 +92,7 @@
 		"callers.body_bytes":   e.server.BodyBytes,
 		"upstreams.body_bytes": e.upstream.ResponseBytes,
 		"upstreams.known":      func() int64 { return int64(e.steering.UpstreamCount()) },
+		"upstreams.cold":       func() int64 { return int64(e.steering.ColdCount(e.now())) },
 		"configuration.version": func() int64 {
 			if s := e.snapshot.Load(); s != nil {
 				return int64(s.Version)
--- a/steering/table.go
+++ b/steering/table.go
@@ -154,6 +154,19 @@
 	Upstream    fleet.Upstream
 	Service     fleet.Pool
 	Description string
+	// ColdFor is the remaining warm-up time; 0 if the upstream is warm.
+	ColdFor time.Duration
+	// WarmupHost is true if this host may send requests to the cold upstream.
+	WarmupHost bool
+}
+
+// change returns a change of an upstream with its warm-up state.
+func (t *Table) change(now machine.Instant, m *member, description string) UpstreamChange {
+	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description}
+	if m.limiter.active(now) {
+		c.ColdFor, c.WarmupHost = m.limiter.until.Sub(now), t.isWarmupHost(m)
+	}
+	return c
 }
 
 // Apply applies changes of the upstreams' entries. It returns the upstreams that were
@@ -164,7 +177,7 @@
 	seen := make(map[fleet.Upstream]bool, len(u.Changes))
 	for _, c := range u.Changes {
 		if c.Removed {
-			removed, changed = t.remove(fleet.Upstream(c.Name), removed, changed)
+			removed, changed = t.remove(now, fleet.Upstream(c.Name), removed, changed)
 			continue
 		}
 		seen[c.Item.ID] = true
@@ -177,10 +190,10 @@
 			case u.AfterOutage:
 				if m.missingSince == 0 {
 					m.missingSince = now
-					changed = append(changed, UpstreamChange{id, m.Service, "missing after an outage"})
+					changed = append(changed, t.change(now, m, "missing after an outage"))
 				}
 			default:
-				removed, changed = t.remove(id, removed, changed)
+				removed, changed = t.remove(now, id, removed, changed)
 			}
 		}
 		t.listed = true
@@ -189,13 +202,15 @@
 	return removed, changed
 }
 
+// set adds or updates an upstream and appends the description of the change, if any.
 func (t *Table) set(now machine.Instant, item catalog.Upstream, changed []UpstreamChange) []UpstreamChange {
 	m := t.members[item.ID]
+	description := ""
 	switch {
 	case m == nil:
 		m = newMember(item)
 		t.members[item.ID] = m
-		changed = append(changed, UpstreamChange{item.ID, item.Service, "added"})
+		description = "added"
 		if t.listed {
 			m.limiter.start(now, t.warmup[item.Service].SlowStart)
 		}
@@ -204,25 +219,32 @@
 		*m = *newMember(item)
 		m.inFlight = inFlight
 		m.limiter.start(now, t.warmup[item.Service].SlowStart)
-		changed = append(changed, UpstreamChange{item.ID, item.Service, "started again"})
+		description = "started again"
 	case m.Draining != item.Draining:
-		changed = append(changed, UpstreamChange{item.ID, item.Service, "draining changed"})
+		description = "draining changed"
 	}
 	m.Upstream = item
 	m.missingSince = 0
+	wasCold := m.limiter.active(now)
 	if item.ColdFor > 0 {
 		m.limiter.start(now, item.ColdFor)
 	}
-	return changed
+	if description == "" && !wasCold && m.limiter.active(now) {
+		description = "reports that it is cold"
+	}
+	if description == "" {
+		return changed
+	}
+	return append(changed, t.change(now, m, description))
 }
 
-func (t *Table) remove(id fleet.Upstream, removed []upstream.Target, changed []UpstreamChange) ([]upstream.Target, []UpstreamChange) {
+func (t *Table) remove(now machine.Instant, id fleet.Upstream, removed []upstream.Target, changed []UpstreamChange) ([]upstream.Target, []UpstreamChange) {
 	m := t.members[id]
 	if m == nil {
 		return removed, changed
 	}
 	delete(t.members, id)
-	return append(removed, upstream.Target{ID: id, Address: m.Address}), append(changed, UpstreamChange{id, m.Service, "removed"})
+	return append(removed, upstream.Target{ID: id, Address: m.Address}), append(changed, t.change(now, m, "removed"))
 }
 
 // Expire removes upstreams whose entries were not written again after an outage, and
@@ -232,7 +254,7 @@
 	defer t.mu.Unlock()
 	for id, m := range t.members {
 		if m.missingSince != 0 && now.Sub(m.missingSince) > missingGrace {
-			removed, changed = t.remove(id, removed, changed)
+			removed, changed = t.remove(now, id, removed, changed)
 		}
 	}
 	if len(removed) > 0 {
@@ -246,7 +268,7 @@
 
 // SetEvacuated replaces the evacuated failure domains. Upstreams of a restored domain
 // are treated as cold if their entries say so.
-func (t *Table) SetEvacuated(domains []fleet.FailureDomain) {
+func (t *Table) SetEvacuated(_ machine.Instant, domains []fleet.FailureDomain) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.evacuated = make(map[fleet.FailureDomain]bool, len(domains))
@@ -412,6 +434,19 @@
 	return min(maxBackoff, minBackoff<<min(failures-1, 4))
 }
 
+// ColdCount returns the number of cold upstreams in the table.
+func (t *Table) ColdCount(now machine.Instant) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cold := 0
+	for _, m := range t.members {
+		if m.limiter.active(now) {
+			cold++
+		}
+	}
+	return cold
+}
+
 // UpstreamCount returns the number of upstreams in the table.
 func (t *Table) UpstreamCount() int {
 	t.mu.Lock()
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -169,7 +169,7 @@
 		require.Equal(t, Chosen, refusal)
 		require.Equal(t, fleet.Upstream("u-2"), c.ID)
 	}
-	tb.SetEvacuated([]fleet.FailureDomain{"a-a"})
+	tb.SetEvacuated(2*second, []fleet.FailureDomain{"a-a"})
 	_, refusal := tb.Pick(2*second, requestFor("x"))
 	require.Equal(t, NoUpstream, refusal)
 }
