Hosts without a list of hosts do not warm up upstreams

Callers saw requests fail at a cold upstream that crashed under load (FAILBACK). Cause: a host that has no list of hosts yet, or is not in its own list, ranked first among no others and took itself for a warm-up host of every upstream. A fleet that starts again while its lists of hosts come late sends as many requests per second as it has hosts. Class: a missing fact read as permission.

Now only a host that is in its own list can be a warm-up host; the other hosts do not count it before either. TestColdUpstreamIsNotFloodedByHostsWithoutListOfHosts counted 27 requests in one second before (12.95 allowed; in its present form, in which the warm-up hosts keep their lists, it failed too) and passes now. The form changed because in the old one the only warm-up hosts were among those without a list, so that no request at all was correct.

--- a/steering/cold.go
+++ b/steering/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/catkinspring/catkinspring/catalog"
@@ -75,7 +76,11 @@
 
 // findWarmupHost reports whether this host is one of the first by rendezvous hashing
 // among the hosts in the upstream's region, or among all hosts if that region has none.
+// A host that is not in its own list is none: the other hosts do not count it either.
 func (t *Table) findWarmupHost(m *member) bool {
+	if !slices.ContainsFunc(t.hosts, func(h catalog.Host) bool { return h.ID == t.config.Host }) {
+		return false
+	}
 	sameRegion := t.config.Location.Region == m.Location.Region
 	regionHasHosts := false
 	for _, h := range t.hosts {
--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -162,12 +162,12 @@
 func TestColdUpstreamIsNotFloodedByHostsWithoutListOfHosts(t *testing.T) {
 	f := newFleetModel(t, 87)
 	f.entries[0].ColdFor = modelSlowStart
-	for i := range f.tables {
-		if i >= 12 {
+	f.apply(f.entries[0], f.tables...)
+	for i, tb := range f.tables {
+		if !tb.isWarmupHost(tb.members["u-1"]) {
 			f.tables[i] = f.newHost(i, nil)
 		}
 	}
-	f.apply(f.entries[0], f.tables[:12]...)
 	f.cold = true
 	f.run(modelSlowStart)
 	f.requireNoFlood()
