Treat an upstream that may have restarted as cold

Cause: a restart under the same ID was known from the upstream's entry alone. Between the restart and the new entry in a host's copy (a heartbeat, the watch, its delay of 1 s; much longer for a host or an upstream that does not reach the store) all hosts sent to the upstream at the full rate, although their own connections had been refused or had gone silent meanwhile. Class: a missing fact read as permission.

A failure after which the process may be a new one (refused or reset connection, or the second one without an answer) makes the upstream cold for the host until it has answered for the warm-up time, or until its old entry would have lapsed (three heartbeats, read from the settings) and the warm-up time has passed. Only the warm-up hosts try it meanwhile, at their rate. A single lost packet is not such a failure; a time-out of a new connection is reported as Unresponsive for that, like the other silences.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/catkinspring/catkinspring/catalog"
@@ -226,13 +227,17 @@
 		return
 	}
 	for _, c := range changed {
-		line := e.log.Info().Str("upstream", string(c.Upstream)).Str("service", string(c.Service)).Str("change", c.Description).
-			Uint64("store", revision)
-		if c.ColdFor > 0 {
-			line = line.Dur("cold_for", c.ColdFor).Bool("warmup_host", c.WarmupHost)
-		}
-		line.Msg("upstream changed")
+		upstreamChanged(e.log.Info(), c).Uint64("store", revision).Msg("upstream changed")
+	}
+}
+
+// upstreamChanged adds the fields of a change to a log line.
+func upstreamChanged(line *zerolog.Event, c steering.UpstreamChange) *zerolog.Event {
+	line = line.Str("upstream", string(c.Upstream)).Str("service", string(c.Service)).Str("change", c.Description)
+	if c.ColdFor > 0 {
+		line = line.Dur("cold_for", c.ColdFor).Bool("warmup_host", c.WarmupHost)
 	}
+	return line
 }
 
 // maxLoggedChanges is the number of changes up to which each is logged on its own.
--- a/edge/request.go
+++ b/edge/request.go
@@ -221,9 +221,8 @@
 
 // reportAttempt reports the result of the last attempt to steering.
 func (r *request) reportAttempt() {
-	if change := r.e.steering.Done(r.e.now(), r.choice.ID, r.last); change != "" {
-		r.e.log.Info().Str("upstream", string(r.choice.ID)).Str("request", r.fields.ID).Str("change", change).
-			AnErr("cause", r.last.Err).Msg("upstream changed")
+	if change := r.e.steering.Done(r.e.now(), r.choice.ID, r.last); change.Description != "" {
+		upstreamChanged(r.e.log.Info(), change).Str("request", r.fields.ID).AnErr("cause", r.last.Err).Msg("upstream changed")
 	}
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -23,6 +23,8 @@
 	// Domains maps each failure domain to its region.
 	Domains map[fleet.FailureDomain]fleet.Region
 	Bounds  Bounds
+	// EntryLapse is documented at steering.Config.
+	EntryLapse time.Duration
 	// FirstStart is true when the whole fleet starts for the first time and there is
 	// no traffic yet.
 	FirstStart bool
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -10,27 +10,54 @@
 	"github.com/catkinspring/catkinspring/machine"
 )
 
-// warmupLimiter is a token bucket for this host's requests to a cold upstream. The
-// hosts that may warm up an upstream are chosen by rendezvous hashing, so the total
-// over all hosts holds without messages between them.
+// warmupLimiter holds what this host knows of the warm-up phase of an upstream, and a
+// token bucket for this host's requests to it meanwhile. The hosts that may warm up an
+// upstream are chosen by rendezvous hashing, so the total over all hosts holds without
+// messages between them.
 type warmupLimiter struct {
-	until      machine.Instant
-	tokens     float64
-	refilledAt machine.Instant
+	// coldUntil is the end of the warm-up phase.
+	coldUntil machine.Instant
+	// unverifiedUntil is until when the upstream may have restarted without notice: its
+	// last attempts failed as if its process had ended.
+	unverifiedUntil machine.Instant
+	tokens          float64
+	refilledAt      machine.Instant
 }
 
 // start begins or extends the warm-up phase. The bucket starts empty.
 func (l *warmupLimiter) start(now machine.Instant, d time.Duration) {
-	if until := now.Add(d); until > l.until {
-		if l.until < now {
-			l.tokens, l.refilledAt = 0, now
-		}
-		l.until = until
+	l.empty(now)
+	l.coldUntil = max(l.coldUntil, now.Add(d))
+}
+
+// suspect treats the upstream as cold for d, unless verify is called before.
+func (l *warmupLimiter) suspect(now machine.Instant, d time.Duration) {
+	l.empty(now)
+	l.unverifiedUntil = now.Add(d)
+}
+
+// suspected reports whether the upstream may have restarted without notice.
+func (l *warmupLimiter) suspected(now machine.Instant) bool { return now < l.unverifiedUntil }
+
+// verify records that a suspected upstream answers. It may have started immediately
+// before, so its warm-up phase takes up to slowStart from now.
+func (l *warmupLimiter) verify(now machine.Instant, slowStart time.Duration) {
+	l.start(now, slowStart)
+	l.unverifiedUntil = 0
+}
+
+// empty empties the bucket unless the upstream is cold already.
+func (l *warmupLimiter) empty(now machine.Instant) {
+	if !l.active(now) {
+		l.tokens, l.refilledAt = 0, now
 	}
 }
 
-// active reports whether the upstream is still cold.
-func (l *warmupLimiter) active(now machine.Instant) bool { return now < l.until }
+// until returns when the upstream can be considered warm.
+func (l *warmupLimiter) until() machine.Instant { return max(l.coldUntil, l.unverifiedUntil) }
+
+// active reports whether the upstream is cold or may be.
+func (l *warmupLimiter) active(now machine.Instant) bool { return now < l.until() }
 
 // maxWarmupHosts bounds the number of warm-up hosts of one upstream. With two, one
 // can send requests while the other has no callers; with more, each host's share of
--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -20,6 +20,7 @@
 	modelColdOver    = 1.5
 	modelColdSlack   = 8
 	modelSlowStart   = 3 * time.Second
+	modelEntryLapse  = 4500 * time.Millisecond
 )
 
 // fleetModel is a fleet of hosts under a virtual clock, with the objects of one
@@ -30,10 +31,10 @@
 	hosts   []catalog.Host
 	tables  []*Table
 	entries []catalog.Upstream
-	// down is true while the upstream under test refuses connections, cold while it
-	// is cold. Both are hidden from the hosts.
-	down, cold bool
-	objects    []string
+	// down is true while the upstream under test can't be reached, silent if its machine
+	// does not answer then, cold while it is cold. All are hidden from the hosts.
+	down, silent, cold bool
+	objects            []string
 	// demand is the rate of requests for these objects, per second.
 	demand   float64
 	coldRate float64
@@ -78,7 +79,7 @@
 
 // newHost returns the table of a host that has just listed the entries.
 func (f *fleetModel) newHost(i int, list []catalog.Host) *Table {
-	t := New(Config{Host: f.hosts[i].ID, Location: f.hosts[i].Location, MaxRegionShift: 0.15, ColdSlack: modelColdSlack})
+	t := New(Config{Host: f.hosts[i].ID, Location: f.hosts[i].Location, MaxRegionShift: 0.15, ColdSlack: modelColdSlack, EntryLapse: modelEntryLapse})
 	t.SetWarmup(map[fleet.Pool]Warmup{"s": {SlowStart: modelSlowStart, Rate: f.coldRate}})
 	if list != nil {
 		t.SetHosts(list)
@@ -123,7 +124,7 @@
 	switch {
 	case refusal != Chosen:
 	case c.ID == "u-1" && f.down:
-		f.tables[host].Done(f.now, c.ID, upstream.Result{Outcome: upstream.Unreachable})
+		f.tables[host].Done(f.now, c.ID, upstream.Result{Outcome: upstream.Unreachable, Unresponsive: f.silent})
 	default:
 		f.running = append(f.running, modelRequest{host: host, id: c.ID, ends: f.now.Add(modelServiceTime)})
 		if c.ID == "u-1" && f.cold {
@@ -175,13 +176,15 @@
 
 // Guards against requests at the full rate between a restart and the new entry.
 func TestRestartedUpstreamIsNotFloodedBeforeItsEntryChanges(t *testing.T) {
-	f := newFleetModel(t, 87)
-	f.run(time.Second)
-	f.down = true
-	f.run(2 * time.Second)
-	f.down, f.cold = false, true
-	f.run(modelSlowStart)
-	f.requireNoFlood()
+	for _, silent := range []bool{false, true} {
+		f := newFleetModel(t, 87)
+		f.run(time.Second)
+		f.down, f.silent = true, silent
+		f.run(2 * time.Second)
+		f.down, f.cold = false, true
+		f.run(modelSlowStart)
+		f.requireNoFlood()
+	}
 }
 
 // Guards against requests at the full rate to a restored domain whose upstreams became
--- a/steering/pick_test.go
+++ b/steering/pick_test.go
@@ -66,7 +66,7 @@
 		m.otherHostsLoad, m.otherHostsLoadAt = float64(random.IntN(4)), now
 		switch random.IntN(6) {
 		case 0:
-			m.limiter = warmupLimiter{until: now.Add(time.Minute), tokens: float64(random.IntN(2)), refilledAt: now}
+			m.limiter = warmupLimiter{coldUntil: now.Add(time.Minute), tokens: float64(random.IntN(2)), refilledAt: now}
 		case 1:
 			m.ejectedUntil = now.Add(time.Second)
 		case 2:
--- a/steering/table.go
+++ b/steering/table.go
@@ -46,6 +46,9 @@
 	// ColdSlack is the number of requests that all hosts together may send to a cold
 	// upstream in one second in addition to its warm-up rate.
 	ColdSlack float64
+	// EntryLapse is the time after which the entry of an upstream that no longer writes
+	// it is removed from the store.
+	EntryLapse time.Duration
 }
 
 // member is the state that this host keeps for an upstream.
@@ -164,7 +167,7 @@
 func (t *Table) change(now machine.Instant, m *member, description string) UpstreamChange {
 	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description}
 	if m.limiter.active(now) {
-		c.ColdFor, c.WarmupHost = m.limiter.until.Sub(now), t.isWarmupHost(m)
+		c.ColdFor, c.WarmupHost = m.limiter.until().Sub(now), t.isWarmupHost(m)
 	}
 	return c
 }
@@ -350,14 +353,14 @@
 	return decayed(m.failureRate, now.Sub(m.failureRateAt), failureRateHalfLife)
 }
 
-// Done records the result of an attempt and returns a description of the change to
-// the upstream's state, if any, for the log.
-func (t *Table) Done(now machine.Instant, id fleet.Upstream, r upstream.Result) (change string) {
+// Done records the result of an attempt and returns the change to the upstream's state
+// for the log; its Description is empty if there is none.
+func (t *Table) Done(now machine.Instant, id fleet.Upstream, r upstream.Result) UpstreamChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
 	if m == nil {
-		return ""
+		return UpstreamChange{}
 	}
 	m.inFlight = max(0, m.inFlight-1)
 	if r.Response != nil && r.Response.Load.Known {
@@ -365,12 +368,24 @@
 		m.otherHostsLoad = max(0, float64(l.Running+l.Waiting-m.inFlight))
 		m.otherHostsLoadAt = now
 	}
+	if description := t.record(now, m, r); description != "" {
+		return t.change(now, m, description)
+	}
+	return UpstreamChange{}
+}
+
+// record applies the result of an attempt to the upstream's state and describes the
+// change, if any.
+func (t *Table) record(now machine.Instant, m *member, r upstream.Result) (change string) {
 	switch r.Outcome {
 	case upstream.Answered:
 		t.services[m.Service].recordServiceTime(r.Took, m.Location.Region == t.config.Location.Region)
 		m.recordOutcome(now, r.Response.Status >= 500)
 		if m.failures > 0 {
 			m.failures = 0
+			if m.limiter.suspected(now) {
+				m.limiter.verify(now, t.warmup[m.Service].SlowStart)
+			}
 			return "answers again"
 		}
 	case upstream.Refused:
@@ -381,9 +396,8 @@
 		m.ejectedUntil = now.Add(maxBackoff)
 		return "address belongs to another upstream"
 	case upstream.Unreachable:
-		m.failures++
-		m.ejectedUntil = now.Add(backoff(m.failures))
 		m.recordOutcome(now, true)
+		t.recordFailure(now, m, r.Unresponsive)
 		return "unreachable"
 	case upstream.Broken:
 		m.recordOutcome(now, true)
@@ -391,8 +405,7 @@
 			// The upstream may have closed the connection as idle.
 			return "connection broke"
 		}
-		m.failures++
-		m.ejectedUntil = now.Add(backoff(m.failures))
+		t.recordFailure(now, m, r.Unresponsive)
 		if r.Unresponsive {
 			return "silent"
 		}
@@ -404,6 +417,18 @@
 	return ""
 }
 
+// recordFailure ejects an upstream whose process may have ended. It may restart under
+// the same ID, and this host's copy of its entry be older than that; without a new
+// entry, the restart is excluded only once the old entry would have lapsed. A single
+// failure of an unresponsive machine may be a lost packet.
+func (t *Table) recordFailure(now machine.Instant, m *member, unresponsive bool) {
+	m.failures++
+	m.ejectedUntil = now.Add(backoff(m.failures))
+	if !unresponsive || m.failures > 1 {
+		m.limiter.suspect(now, t.config.EntryLapse+t.warmup[m.Service].SlowStart)
+	}
+}
+
 // recordServiceTime adds the duration of an answered request to the averages.
 func (p *pool) recordServiceTime(took time.Duration, local bool) {
 	p.serviceTime = movingAverage(p.serviceTime, took.Seconds())
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -300,7 +300,7 @@
 	tb := newTable(0, upstreamsIn(3))
 	first, _ := tb.Pick(2*second, requestFor("x"))
 	change := tb.Done(2*second, first.ID, upstream.Result{Outcome: upstream.Broken, Reused: true, Unresponsive: true})
-	require.Equal(t, "silent", change)
+	require.Equal(t, "silent", change.Description)
 	other, refusal := tb.Pick(2*second, requestFor("x"))
 	require.Equal(t, Chosen, refusal)
 	require.NotEqual(t, first.ID, other.ID)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -150,7 +150,7 @@
 			if errors.Is(e.ctx.Err(), context.Canceled) {
 				return Result{Outcome: Cancelled, Err: err}
 			}
-			return Result{Outcome: Unreachable, Err: err}
+			return Result{Outcome: Unreachable, Err: err, Unresponsive: timedOutConnecting(err)}
 		}
 		conn = opened
 	}
@@ -170,6 +170,11 @@
 	return result
 }
 
+// timedOutConnecting reports whether a machine did not answer a new connection at all.
+func timedOutConnecting(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // runOn runs the exchange on a connection and returns how long the connection may
 // then stay idle; 0 means that it can't be reused.
 func (e *exchange) runOn(conn *connection) (Result, time.Duration) {
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -303,3 +303,22 @@
 	require.True(t, result.Unresponsive)
 	require.Less(t, result.Took, 3*time.Second)
 }
+
+// Guards against a machine that does not answer and one that refuses a connection being
+// reported alike: only the latter shows that the upstream's process has ended.
+func TestConnectTimeoutIsUnresponsive(t *testing.T) {
+	s := startStub(t, func(*stubServer, net.Conn, *bufio.Reader) {})
+	c := NewClient(testCodec{}, testResponseBytes)
+	c.pool.dialer.Timeout = time.Nanosecond
+	r := exchangeWith(t, c, s, request("1"))
+	require.Equal(t, Unreachable, r.Outcome)
+	require.True(t, r.Unresponsive)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := &stubServer{target: Target{ID: "u", Address: l.Addr().(*net.TCPAddr).AddrPort()}}
+	require.NoError(t, l.Close())
+	r = exchangeWith(t, NewClient(testCodec{}, testResponseBytes), closed, request("1"))
+	require.Equal(t, Unreachable, r.Outcome)
+	require.False(t, r.Unresponsive)
+}
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -109,8 +109,8 @@
 	Response *Response
 	// Err is the cause of the other outcomes.
 	Err error
-	// Unresponsive is true if the upstream's machine did not acknowledge sent data or
-	// the kernel's keep-alive probes.
+	// Unresponsive is true if the upstream's machine did not acknowledge a new
+	// connection, sent data or the kernel's keep-alive probes.
 	Unresponsive bool
 	// Reused is true if the connection had carried an earlier request.
 	Reused bool
