Upstreams of a restored failure domain are cold

Callers saw requests fail at cold upstreams that crashed under load (FAILBACK). Cause: evacuations are followed with a delay of 0.25 s, the upstreams' entries with 1 s and stale reads, on connections of their own. When a domain is restored whose upstreams became cold while it was empty, all hosts sent to them at the full rate until the entries arrived, with stale reads for seconds. Class: two facts that are read apart and used as if they were of one time.

The end of an evacuation now begins the warm-up time of the domain's upstreams. Their warm-up rate is near their share of the usual load, and during the evacuation the others carried it all, so a domain that was warm costs little.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -35,7 +35,7 @@
 			domains = append(domains, evacuation.FailureDomain)
 		}
 		e.steering.SetEvacuated(e.now(), domains)
-		e.log.Info().Any("domains", domains).Uint64("store", u.Revision).Msg("evacuations changed")
+		e.log.Info().Any("domains", domains).Int("cold", e.steering.ColdCount(e.now())).Uint64("store", u.Revision).Msg("evacuations changed")
 	})
 	hosts := objectMap[catalog.Host]{}
 	followKind(ctx, group, e, kindHosts, e.Store.Hosts(), func(u catalog.Update[catalog.Host]) {
--- a/steering/table.go
+++ b/steering/table.go
@@ -270,14 +270,22 @@
 }
 
 // SetEvacuated replaces the evacuated failure domains. Upstreams of a restored domain
-// are treated as cold if their entries say so.
-func (t *Table) SetEvacuated(_ machine.Instant, domains []fleet.FailureDomain) {
+// are cold for the whole warm-up time: they may have become cold while they got no
+// requests, and their entries, which say so, arrive independently of the evacuation's
+// end.
+func (t *Table) SetEvacuated(now machine.Instant, domains []fleet.FailureDomain) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.evacuated
 	t.evacuated = make(map[fleet.FailureDomain]bool, len(domains))
 	for _, d := range domains {
 		t.evacuated[d] = true
 	}
+	for _, m := range t.members {
+		if d := m.Location.FailureDomain; before[d] && !t.evacuated[d] {
+			m.limiter.start(now, t.warmup[m.Service].SlowStart)
+		}
+	}
 	t.rebuildPools()
 }
 
