Apply warm-up settings to upstreams that started before

Cause: the end of the warm-up phase was computed when the entry arrived. For a service that the configuration did not contain yet, or whose configuration the host had not read yet, that was a phase of 0 s, and all hosts sent at the full rate. Class: a missing fact read as permission.

The table keeps when an upstream started and computes the phase again when the settings arrive. TestUpstreamThatStartsBeforeItsServiceIsConfiguredIsNotFlooded counted 60 requests in one second before (12.95 allowed) and passes now.

--- a/steering/table.go
+++ b/steering/table.go
@@ -74,6 +74,9 @@
 	failureRateAt machine.Instant
 
 	limiter warmupLimiter
+	// startedAt is when this host was notified of the upstream's start; 0 if the
+	// upstream was in the first list.
+	startedAt machine.Instant
 	// warmupHost is true if this host is a warm-up host of the upstream, according to
 	// the list of hosts with the number warmupHostList; see isWarmupHost.
 	warmupHost     bool
@@ -215,13 +218,13 @@
 		t.members[item.ID] = m
 		description = "added"
 		if t.listed {
-			m.limiter.start(now, t.warmup[item.Service].SlowStart)
+			t.started(now, m)
 		}
 	case m.StartedMillis != item.StartedMillis:
 		inFlight := m.inFlight
 		*m = *newMember(item)
 		m.inFlight = inFlight
-		m.limiter.start(now, t.warmup[item.Service].SlowStart)
+		t.started(now, m)
 		description = "started again"
 	case m.Draining != item.Draining:
 		description = "draining changed"
@@ -241,6 +244,12 @@
 	return append(changed, t.change(now, m, description))
 }
 
+// started begins the warm-up phase of an upstream that has started.
+func (t *Table) started(now machine.Instant, m *member) {
+	m.startedAt = now
+	m.limiter.start(now, t.warmup[m.Service].SlowStart)
+}
+
 func (t *Table) remove(now machine.Instant, id fleet.Upstream, removed []upstream.Target, changed []UpstreamChange) ([]upstream.Target, []UpstreamChange) {
 	m := t.members[id]
 	if m == nil {
@@ -298,11 +307,17 @@
 	t.hostList++
 }
 
-// SetWarmup replaces the warm-up settings of all services.
+// SetWarmup replaces the warm-up settings of all services. They also apply to upstreams
+// that started before.
 func (t *Table) SetWarmup(w map[fleet.Pool]Warmup) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.warmup = w
+	for _, m := range t.members {
+		if m.startedAt != 0 {
+			m.limiter.start(m.startedAt, w[m.Service].SlowStart)
+		}
+	}
 }
 
 // SetDemand replaces the rates of requests that arrive in each region, per second.
