Warm-up rate holds while the hosts' lists of hosts differ

Callers saw requests fail at a cold upstream that crashed under load (FAILBACK). Cause: each of the two warm-up hosts sent at half the rate, so their sum left no room for hosts with other lists. When hosts are added, those that know them and those that do not choose different warm-up hosts, up to four. Class: a share of a total that assumes that all hosts agree.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -137,7 +137,8 @@
 		clock:   clock.New(),
 		steering: steering.New(steering.Config{
 			Host: o.Settings.ID, Location: o.Settings.Location,
-			MaxRegionShift: b.MaxRegionShift, ColdSlack: b.ColdSlack, EntryLapse: o.Settings.EntryLapse,
+			MaxRegionShift: b.MaxRegionShift, ColdTolerance: b.ColdTolerance, ColdSlack: b.ColdSlack,
+			EntryLapse: o.Settings.EntryLapse,
 		}),
 		budget:      steering.NewRetryBudget(budgetConfig(o.Settings)),
 		hostMetrics: newHostMetrics(),
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -53,7 +53,8 @@
 	RetryWindow  time.Duration
 	// MaxAnswerAge is how long callers may cache the response to a lookup.
 	MaxAnswerAge time.Duration
-	// MaxRegionShift and ColdSlack are documented at steering.Config.
+	// MaxRegionShift, ColdTolerance and ColdSlack are documented at steering.Config.
 	MaxRegionShift float64
+	ColdTolerance  float64
 	ColdSlack      float64
 }
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -64,16 +64,27 @@
 // the rate would be too small.
 const maxWarmupHosts = 2
 
-// warmupHosts returns the number of warm-up hosts of one upstream. Their shares add
-// up to the warm-up rate, and their bursts of one token each to at most half of
-// ColdSlack; the rest is margin for hosts that disagree on the set of hosts.
+// listDivergence is by how many times the hosts that consider themselves warm-up hosts
+// may outnumber warmupHosts while their lists of hosts differ.
+const listDivergence = 2
+
+// warmupHosts returns the number of warm-up hosts of one upstream. The bursts of one
+// token each of listDivergence times as many add up to at most ColdSlack.
 func (t *Table) warmupHosts() int {
-	return max(1, min(maxWarmupHosts, int(t.config.ColdSlack/2)))
+	return max(1, min(maxWarmupHosts, int(t.config.ColdSlack/listDivergence)))
+}
+
+// warmupShare returns the rate of one warm-up host. The rates of all warm-up hosts add
+// up to at most the upstream's rate, those of listDivergence times as many to at most
+// the tolerated one.
+func (t *Table) warmupShare(rate float64) float64 {
+	return rate * min(1, t.config.ColdTolerance/listDivergence) / float64(t.warmupHosts())
 }
 
 // admit takes a token if the upstream is cold, and reports whether it may get a
-// request. Invariant: all hosts together admit at most warmupHosts + rate requests to
-// a cold upstream in one second.
+// request. Invariant: all hosts together admit at most ColdTolerance * rate + ColdSlack
+// requests to a cold upstream in one second, also if up to listDivergence * warmupHosts
+// of them consider themselves warm-up hosts.
 func (t *Table) admit(now machine.Instant, m *member) bool {
 	if !m.limiter.active(now) {
 		return true
@@ -83,7 +94,7 @@
 		return false
 	}
 	l := &m.limiter
-	l.tokens = math.Min(1, l.tokens+now.Sub(l.refilledAt).Seconds()*rate/float64(t.warmupHosts()))
+	l.tokens = math.Min(1, l.tokens+now.Sub(l.refilledAt).Seconds()*t.warmupShare(rate))
 	l.refilledAt = now
 	if l.tokens < 1 {
 		return false
--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -79,7 +79,7 @@
 
 // newHost returns the table of a host that has just listed the entries.
 func (f *fleetModel) newHost(i int, list []catalog.Host) *Table {
-	t := New(Config{Host: f.hosts[i].ID, Location: f.hosts[i].Location, MaxRegionShift: 0.15, ColdSlack: modelColdSlack, EntryLapse: modelEntryLapse})
+	t := New(Config{Host: f.hosts[i].ID, Location: f.hosts[i].Location, MaxRegionShift: 0.15, ColdTolerance: modelColdOver, ColdSlack: modelColdSlack, EntryLapse: modelEntryLapse})
 	t.SetWarmup(map[fleet.Pool]Warmup{"s": {SlowStart: modelSlowStart, Rate: f.coldRate}})
 	if list != nil {
 		t.SetHosts(list)
--- a/steering/table.go
+++ b/steering/table.go
@@ -43,9 +43,11 @@
 	// MaxRegionShift is the share of a region's requests that may move to a different
 	// region within two seconds.
 	MaxRegionShift float64
-	// ColdSlack is the number of requests that all hosts together may send to a cold
-	// upstream in one second in addition to its warm-up rate.
-	ColdSlack float64
+	// ColdTolerance and ColdSlack bound what all hosts together may send to a cold
+	// upstream in one second: ColdTolerance times its warm-up rate, and ColdSlack
+	// requests in addition.
+	ColdTolerance float64
+	ColdSlack     float64
 	// EntryLapse is the time after which the entry of an upstream that no longer writes
 	// it is removed from the store.
 	EntryLapse time.Duration
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -48,7 +48,7 @@
 // newTable returns the table of one of 12 hosts, by its index.
 func newTable(host int, u catalog.Update[catalog.Upstream]) *Table {
 	all := hosts(12)
-	t := New(Config{Host: all[host].ID, Location: all[host].Location, MaxRegionShift: 0.15, ColdSlack: 5})
+	t := New(Config{Host: all[host].ID, Location: all[host].Location, MaxRegionShift: 0.15, ColdTolerance: 1.5, ColdSlack: 5})
 	t.SetHosts(all)
 	t.SetWarmup(map[fleet.Pool]Warmup{"s": {SlowStart: 3 * time.Second, Rate: 3.6}})
 	t.Apply(second, u)
