Broadcast which upstreams are cold to hosts that do not reach the store

Callers saw requests fail at a cold upstream that crashed under load (FAILBACK). Cause: that an upstream became cold again, or started under its ID without a failed request, was known from its entry alone. A host that does not reach the store, or whose stale watch is behind, went on at the full rate. Class: a promise over all hosts that rests on each host reading the store.

The two hosts that watch the store's latest state now send what changed entries say of the warm-up to all others (package advisory), at most one datagram a host for 48 upstreams. Only statements of upstreams are sent, no conclusions: a host with a broken link would make the whole fleet avoid upstreams.

--- /dev/null
+++ b/advisory/doc.go
@@ -0,0 +1,8 @@
+// Package advisory broadcasts what upstreams state about themselves to the hosts that
+// have not received it from the upstream or the store, for example because they are cut
+// off from the store.
+//
+// A host publishes only statements of upstreams, never its own conclusions: a host with
+// a broken link would otherwise make all others avoid upstreams that only it can't
+// reach.
+package advisory
--- /dev/null
+++ b/advisory/machine.go
@@ -0,0 +1,132 @@
+package advisory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// maxPerMessage keeps a message within the size of a datagram.
+	maxPerMessage = 48
+	// maxPending bounds the advisories that wait for the next tick.
+	maxPending = 1024
+	// maxColdFor bounds the warm-up time that is accepted from a peer.
+	maxColdFor = 10 * time.Minute
+)
+
+// messageNumber is from the package's range 800 to 849.
+const messageNumber = 800
+
+// Messages returns the package's message types for the codec.
+func Messages() []machine.MessageType {
+	return []machine.MessageType{machine.TypeOf[Advisories]()}
+}
+
+// Key identifies an upstream in messages: a hash of its ID.
+type Key uint64
+
+// KeyOf returns the key of an upstream.
+func KeyOf(id fleet.Upstream) Key { return Key(xxhash.Sum64String(string(id))) }
+
+// Advisory is what an upstream states about itself.
+type Advisory struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream Key
+	// ColdMillis is the remaining warm-up time; 0 if the upstream did not state one.
+	ColdMillis uint32
+}
+
+// ColdFor returns the remaining warm-up time.
+func (a Advisory) ColdFor() time.Duration {
+	return min(maxColdFor, time.Duration(a.ColdMillis)*time.Millisecond)
+}
+
+// Advisories is the message with which a host notifies the others.
+type Advisories struct {
+	_    struct{} `cbor:",toarray"`
+	List []Advisory
+}
+
+// MessageNumber returns 800.
+func (Advisories) MessageNumber() uint16 { return messageNumber }
+
+// Publish requests that the other hosts are notified. A later advisory about an upstream
+// replaces one that is not sent yet.
+type Publish struct {
+	Advisories []Advisory
+}
+
+// MachineInput marks Publish as an input.
+func (Publish) MachineInput() {}
+
+// Learned is the output with advisories of another host.
+type Learned struct {
+	From       fleet.HostID
+	Advisories []Advisory
+}
+
+// MachineOutput marks Learned as an output.
+func (Learned) MachineOutput() {}
+
+// Machine broadcasts advisories. It is a machine.Machine.
+type Machine struct {
+	self    fleet.HostID
+	peers   []fleet.HostID
+	pending map[Key]Advisory
+}
+
+var _ machine.Machine = (*Machine)(nil)
+
+// New returns the machine of a host.
+func New(self fleet.HostID) *Machine {
+	return &Machine{self: self, pending: map[Key]Advisory{}}
+}
+
+// Step applies one input.
+func (m *Machine) Step(_ machine.Now, in machine.Input) []machine.Output {
+	switch in := in.(type) {
+	case Publish:
+		for _, a := range in.Advisories {
+			if _, replaces := m.pending[a.Upstream]; replaces || len(m.pending) < maxPending {
+				m.pending[a.Upstream] = a
+			}
+		}
+	case machine.Received:
+		if message, ok := in.Message.(Advisories); ok && len(message.List) > 0 {
+			return []machine.Output{Learned{From: in.From.Host, Advisories: message.List[:min(len(message.List), maxPerMessage)]}}
+		}
+	case machine.ViewChanged:
+		m.peers = m.peers[:0]
+		for i := range in.View.Members {
+			if p := &in.View.Members[i]; p.Host != m.self && p.Reachable {
+				m.peers = append(m.peers, p.Host)
+			}
+		}
+	case machine.Tick:
+		return m.flush()
+	}
+	return nil
+}
+
+// flush sends the pending advisories to all peers.
+func (m *Machine) flush() []machine.Output {
+	if len(m.pending) == 0 {
+		return nil
+	}
+	list := slices.SortedFunc(maps.Values(m.pending), func(a, b Advisory) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	clear(m.pending)
+	var out []machine.Output
+	for batch := range slices.Chunk(list, maxPerMessage) {
+		for _, to := range m.peers {
+			out = append(out, machine.Send{To: to, Message: Advisories{List: batch}})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/advisory/machine_test.go
@@ -0,0 +1,60 @@
+package advisory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+func viewOf(hosts ...fleet.HostID) machine.ViewChanged {
+	v := &fleet.View{}
+	for _, h := range hosts {
+		v.Members = append(v.Members, fleet.ViewMember{Member: fleet.Member{Host: h}, Reachable: h != "dead"})
+	}
+	return machine.ViewChanged{View: v}
+}
+
+// Guards against one message for each advisory and host, and against messages to hosts
+// that can't receive them.
+func TestAdvisoriesAreSentTogetherToAllReachableHosts(t *testing.T) {
+	m := New("h-1")
+	m.Step(machine.Now{}, viewOf("h-1", "h-2", "h-3", "dead"))
+	require.Empty(t, m.Step(machine.Now{}, machine.Tick{}))
+	for i := range maxPerMessage {
+		m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: KeyOf(fleet.Upstream(fmt.Sprint("u-", i))), ColdMillis: 1}}})
+	}
+	m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: KeyOf("u-0"), ColdMillis: 3000}}})
+	out := m.Step(machine.Now{}, machine.Tick{})
+	require.Len(t, out, 2)
+	for i, to := range []fleet.HostID{"h-2", "h-3"} {
+		send := out[i].(machine.Send)
+		require.Equal(t, to, send.To)
+		require.Len(t, send.Message.(Advisories).List, maxPerMessage)
+		require.Contains(t, send.Message.(Advisories).List, Advisory{Upstream: KeyOf("u-0"), ColdMillis: 3000}, "the latest statement counts")
+	}
+	require.Empty(t, m.Step(machine.Now{}, machine.Tick{}))
+}
+
+// Guards against a faulty peer that makes an upstream cold for ever.
+func TestWarmupTimeOfPeersIsBounded(t *testing.T) {
+	out := New("h-1").Step(machine.Now{}, machine.Received{
+		From:    fleet.Member{Host: "h-2"},
+		Message: Advisories{List: []Advisory{{Upstream: 7, ColdMillis: 1<<32 - 1}}},
+	})
+	require.Equal(t, fleet.HostID("h-2"), out[0].(Learned).From)
+	require.Equal(t, 10*time.Minute, out[0].(Learned).Advisories[0].ColdFor())
+}
+
+// Guards against memory that grows without bound while no tick comes.
+func TestPendingAdvisoriesAreBounded(t *testing.T) {
+	m := New("h-1")
+	for i := range 2 * maxPending {
+		m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: Key(i), ColdMillis: 1}}})
+	}
+	require.Len(t, m.pending, maxPending)
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/catkinspring/catkinspring/advisory"
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
@@ -29,7 +30,7 @@
 
 // moduleIDs identify the state machines in the control loop.
 type moduleIDs struct {
-	gossip, limits, quarantine control.ModuleID
+	gossip, limits, quarantine, advisory control.ModuleID
 }
 
 // newIncarnation returns a random incarnation. It is not 0, which package gossip uses
@@ -59,11 +60,14 @@
 	e.modules.quarantine = e.loop.Add(control.Module{
 		Name: "quarantine", Machine: dispatch.NewQuarantine(e.member, e.quarantine), Output: func(machine.Now, machine.Output) {},
 	}, dispatch.Messages())
+	e.modules.advisory = e.loop.Add(control.Module{
+		Name: "advisory", Machine: advisory.New(e.Settings.ID), Output: e.advisoryOutput,
+	}, advisory.Messages())
 	e.loop.EverySecond = e.updateSelf
 	e.loop.EveryTick = e.checkStaleCopies
 	datagrams, err := peer.ListenDatagrams(peer.DatagramConfig{
 		Self: e.member, Listen: e.Settings.Listen.Peers,
-		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages()),
+		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages(), advisory.Messages()),
 		Receive: e.loop.Receive, Metrics: e.hostMetrics.registry,
 	})
 	if err != nil {
@@ -168,12 +172,38 @@
 	view := machine.ViewChanged{View: e.view(changed.Peers)}
 	e.loop.Forward(e.modules.limits, view)
 	e.loop.Forward(e.modules.quarantine, view)
+	e.loop.Forward(e.modules.advisory, view)
 	if alive != e.servingHosts {
 		e.servingHosts = alive
 		e.log.Info().Int("hosts", len(changed.Peers)).Int("serving", alive).Msg("serving hosts changed")
 	}
 }
 
+// advisoryOutput applies what upstreams stated to other hosts.
+func (e *Edge) advisoryOutput(_ machine.Now, out machine.Output) {
+	if learned, ok := out.(advisory.Learned); ok {
+		e.logUpstreams(nil, e.steering.Advise(e.now(), learned.Advisories), 0)
+	}
+}
+
+// publishCold notifies the other hosts of upstreams that are cold according to changed
+// entries. Only the fresh watchers do that, so that a change costs few messages; it
+// matters for hosts that do not reach the store.
+func (e *Edge) publishCold(changed []steering.UpstreamChange) {
+	if !e.freshWatcher.Load() {
+		return
+	}
+	var list []advisory.Advisory
+	for _, c := range changed {
+		if c.ColdFor > 0 {
+			list = append(list, advisory.Advisory{Upstream: advisory.KeyOf(c.Upstream), ColdMillis: uint32(c.ColdFor.Milliseconds())})
+		}
+	}
+	if len(list) > 0 && !e.loop.Post(e.modules.advisory, advisory.Publish{Advisories: list}) {
+		e.log.Warn().Int("upstreams", len(list)).Msg("advisories dropped, the control loop's inbox is full")
+	}
+}
+
 // freshWatchers is the number of hosts that watch the store with a short timeout
 // and read the latest state. With two, one remains after the loss of a region.
 const freshWatchers = 2
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinspring/catkinspring/advisory"
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -140,6 +141,28 @@
 	return ahead < t.warmupHosts()
 }
 
+// Advise applies what other hosts were told by upstreams, and returns the changes.
+func (t *Table) Advise(now machine.Instant, list []advisory.Advisory) (changed []UpstreamChange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	coldFor := make(map[advisory.Key]time.Duration, len(list))
+	for _, a := range list {
+		coldFor[a.Upstream] = a.ColdFor()
+	}
+	for _, m := range t.members {
+		d := coldFor[advisory.Key(m.hash)]
+		if d == 0 {
+			continue
+		}
+		wasCold := m.limiter.active(now)
+		m.limiter.start(now, d)
+		if !wasCold {
+			changed = append(changed, t.change(now, m, "another host knows that it is cold"))
+		}
+	}
+	return changed
+}
+
 // HostCountByRegion returns the number of hosts in each region.
 func HostCountByRegion(hosts []catalog.Host) map[fleet.Region]int {
 	count := make(map[fleet.Region]int)
--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinspring/catkinspring/advisory"
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -243,6 +244,32 @@
 	f.requireNoFlood()
 }
 
+// Guards against hosts cut off from the store that do not know what the others read.
+func TestUpstreamThatBecomesColdAgainIsNotFloodedByHostsCutOffFromTheStore(t *testing.T) {
+	f := newFleetModel(t, 87)
+	f.run(time.Second)
+	f.entries[0].ColdFor = modelSlowStart
+	view := &fleet.View{}
+	for _, h := range f.hosts {
+		view.Members = append(view.Members, fleet.ViewMember{Member: fleet.Member{Host: h.ID}, Reachable: true})
+	}
+	publisher := advisory.New(f.hosts[0].ID)
+	publisher.Step(machine.Now{}, machine.ViewChanged{View: view})
+	_, changed := f.tables[0].Apply(f.now, catalog.Update[catalog.Upstream]{Changes: []catalog.Change[catalog.Upstream]{{Name: "u-1", Item: f.entries[0]}}})
+	require.Len(t, changed, 1)
+	publisher.Step(machine.Now{}, advisory.Publish{Advisories: []advisory.Advisory{
+		{Upstream: advisory.KeyOf("u-1"), ColdMillis: uint32(changed[0].ColdFor.Milliseconds())},
+	}})
+	for _, out := range publisher.Step(machine.Now{}, machine.Tick{}) {
+		send := out.(machine.Send)
+		to := slices.IndexFunc(f.hosts, func(h catalog.Host) bool { return h.ID == send.To })
+		f.tables[to].Advise(f.now, send.Message.(advisory.Advisories).List)
+	}
+	f.cold = true
+	f.run(modelSlowStart)
+	f.requireNoFlood()
+}
+
 // idAheadOf returns a host ID with a prefix that ranks ahead of a list of hosts among
 // the warm-up hosts of "u-1".
 func idAheadOf(list []catalog.Host, prefix string) fleet.HostID {
--- a/steering/table.go
+++ b/steering/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/catkinspring/catkinspring/advisory"
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -86,7 +87,7 @@
 }
 
 func newMember(item catalog.Upstream) *member {
-	return &member{Upstream: item, hash: xxhash.Sum64String(string(item.ID)), warmupHostList: -1}
+	return &member{Upstream: item, hash: uint64(advisory.KeyOf(item.ID)), warmupHostList: -1}
 }
 
 // Table chooses upstreams. It is safe for concurrent use.
