Retry budget: no share of the minimum without a list of hosts

The budget counted a fleet of one host until the first list of hosts arrived, so each host of a fleet whose lists come late could use the whole minimum, and a host that is not listed yet took the share of a listed one.

TestHostsWithoutListOfHostsHaveNoShareOfMinimum failed before. Two tests that used a budget without a list now set a fleet of one host, which is what they meant.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -256,7 +256,11 @@
 	}
 	e.hosts.Store(&list)
 	e.steering.SetHosts(list)
-	e.budget.SetHosts(len(list))
+	sharing := len(list)
+	if !slices.ContainsFunc(list, func(h catalog.Host) bool { return h.ID == e.Settings.ID }) {
+		sharing++
+	}
+	e.budget.SetHosts(sharing)
 	for !e.loop.Post(e.modules.gossip, gossip.SetHosts{Hosts: list}) {
 		// The loop's inbox is full.
 		time.Sleep(maintenanceInterval)
--- a/steering/budget.go
+++ b/steering/budget.go
@@ -14,7 +14,8 @@
 type RetryBudget struct {
 	config RetryBudgetConfig
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// hosts is the number of hosts that share MinRetries; 0 until it is known.
 	hosts    int
 	services map[fleet.Pool]*budgetWindow
 }
@@ -50,12 +51,12 @@
 	retries  [budgetSlices + 1]float64
 }
 
-// NewRetryBudget returns a budget for a fleet of one host.
+// NewRetryBudget returns a budget without a share of MinRetries, which requires SetHosts.
 func NewRetryBudget(c RetryBudgetConfig) *RetryBudget {
-	return &RetryBudget{config: c, hosts: 1, services: make(map[fleet.Pool]*budgetWindow)}
+	return &RetryBudget{config: c, services: make(map[fleet.Pool]*budgetWindow)}
 }
 
-// SetHosts sets the number of hosts that share MinRetries.
+// SetHosts sets the number of hosts that share MinRetries, this one included.
 func (b *RetryBudget) SetHosts(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,7 +88,7 @@
 	}
 	requests -= w.requests[(w.slice+1)%int64(len(w.requests))]
 	minimum := 0.0
-	if now >= b.config.MinRetriesFrom {
+	if b.hosts > 0 && now >= b.config.MinRetriesFrom {
 		minimum = b.config.MinRetries / float64(b.hosts)
 	}
 	if retries+1 > usableRatioShare*b.config.Ratio*requests+minimum {
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -266,9 +266,20 @@
 	require.Greater(t, retries, 100)
 }
 
+// Guards against hosts that each use the whole minimum until they have a list of hosts.
+func TestHostsWithoutListOfHostsHaveNoShareOfMinimum(t *testing.T) {
+	b := NewRetryBudget(RetryBudgetConfig{Ratio: 0.2, MinRetries: 64, Window: 10 * time.Second})
+	require.False(t, b.Withdraw(second, "s"))
+	for range 20 {
+		b.Deposit(2*second, "s")
+	}
+	require.True(t, b.Withdraw(2*second, "s"), "its own requests add to the budget")
+}
+
 // Guards against retries that are counted for longer than the window.
 func TestBudgetRecoversAfterWindow(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetConfig{Ratio: 0, MinRetries: 2, Window: 10 * time.Second})
+	b.SetHosts(1)
 	require.True(t, b.Withdraw(second, "s"))
 	require.True(t, b.Withdraw(second, "s"))
 	require.False(t, b.Withdraw(9*second, "s"))
@@ -317,6 +328,7 @@
 	)
 	for seed := range uint64(20) {
 		b := NewRetryBudget(RetryBudgetConfig{Ratio: ratio, MinRetries: minimum, Window: window})
+		b.SetHosts(1)
 		random := rand.New(rand.NewPCG(seed, 1))
 		var requests, retries []int
 		for at := machine.Instant(0); at < machine.Instant(60*time.Second); at = at.Add(step) {
