Read the remaining warm-up time that upstreams state in responses

An upstream states how long it stays cold in its entry and in a response header; the header was not read. A host that reads it now limits its requests at once and notifies the others. The header is documented for health responses, which this system does not request, so this helps only where other responses have it.

TestUpstreamThatStatesThatItIsColdIsCold could not be written before (no field).

--- a/edge/control.go
+++ b/edge/control.go
@@ -186,13 +186,17 @@
 	}
 }
 
-// publishCold notifies the other hosts of upstreams that are cold according to changed
-// entries. Only the fresh watchers do that, so that a change costs few messages; it
-// matters for hosts that do not reach the store.
-func (e *Edge) publishCold(changed []steering.UpstreamChange) {
-	if !e.freshWatcher.Load() {
-		return
+// publishChangedEntries notifies the other hosts of upstreams that are cold according to
+// changed entries. Only the fresh watchers do that, so that a change costs few messages;
+// it matters for hosts that do not reach the store.
+func (e *Edge) publishChangedEntries(changed []steering.UpstreamChange) {
+	if e.freshWatcher.Load() {
+		e.publishCold(changed...)
 	}
+}
+
+// publishCold notifies the other hosts of the upstreams in a list that are cold.
+func (e *Edge) publishCold(changed ...steering.UpstreamChange) {
 	var list []advisory.Advisory
 	for _, c := range changed {
 		if c.ColdFor > 0 {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -213,7 +213,7 @@
 
 func (e *Edge) applyUpstreams(u catalog.Update[catalog.Upstream]) {
 	removed, changed := e.steering.Apply(e.now(), u)
-	e.publishCold(changed)
+	e.publishChangedEntries(changed)
 	e.logUpstreams(removed, changed, u.Revision)
 }
 
--- a/steering/table.go
+++ b/steering/table.go
@@ -169,6 +169,9 @@
 	WarmupHost bool
 }
 
+// DescriptionStatesCold describes an upstream that stated in a response that it is cold.
+const DescriptionStatesCold = "states that it is cold"
+
 // change returns a change of an upstream with its warm-up state.
 func (t *Table) change(now machine.Instant, m *member, description string) UpstreamChange {
 	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description}
@@ -394,7 +397,14 @@
 		m.otherHostsLoad = max(0, float64(l.Running+l.Waiting-m.inFlight))
 		m.otherHostsLoadAt = now
 	}
-	if description := t.record(now, m, r); description != "" {
+	description := t.record(now, m, r)
+	if r.Response != nil && r.Response.ColdFor > 0 {
+		if !m.limiter.active(now) {
+			description = DescriptionStatesCold
+		}
+		m.limiter.start(now, r.Response.ColdFor)
+	}
+	if description != "" {
 		return t.change(now, m, description)
 	}
 	return UpstreamChange{}
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -235,6 +235,24 @@
 	require.Equal(t, Full, refusal, "the token bucket starts empty")
 }
 
+// Guards against requests at the full rate to an upstream that states in a response that
+// it is cold again.
+func TestUpstreamThatStatesThatItIsColdIsCold(t *testing.T) {
+	tb := newTable(0, upstreamsIn(1))
+	c, refusal := tb.Pick(2*second, requestFor("x"))
+	require.Equal(t, Chosen, refusal)
+	change := tb.Done(2*second, c.ID, upstream.Result{
+		Outcome:  upstream.Answered,
+		Response: &upstream.Response{Status: 200, Fields: upstream.Fields{ColdFor: time.Second}},
+	})
+	require.Equal(t, DescriptionStatesCold, change.Description)
+	require.Equal(t, time.Second, change.ColdFor)
+	_, refusal = tb.Pick(2*second, requestFor("x"))
+	require.Equal(t, Full, refusal, "the token bucket starts empty")
+	_, refusal = tb.Pick(3*second, requestFor("x"))
+	require.Equal(t, Chosen, refusal)
+}
+
 // Guards against an unreachable upstream that keeps getting the requests for its objects.
 func TestUnreachableUpstreamIsSkippedThenRetried(t *testing.T) {
 	tb := newTable(0, upstreamsIn(3))
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -32,6 +32,8 @@
 	// WrongTarget is true if the address now belongs to another upstream.
 	WrongTarget bool
 	Load        Load
+	// ColdFor is the remaining warm-up time; 0 if the upstream did not state one.
+	ColdFor time.Duration
 }
 
 // Codec translates between attempts or responses and a platform's headers.
