--- a/edge/request.go
+++ b/edge/request.go
@@ -333,5 +333,8 @@
 			Int("slots", r.choice.Slots).Int("rank", r.choice.Rank).
 			Bool("cold", r.choice.Cold).Dur("attempt", r.last.Took).AnErr("cause", r.last.Err)
 	}
+	if r.last.Response != nil && r.last.Response.Limit.Known {
+		line = line.Float64("limit", r.last.Response.Limit.PerSecond)
+	}
 	line.Msg("request")
 }
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -34,6 +34,16 @@
 	Load        Load
 	// ColdFor is the remaining warm-up time; 0 if the upstream did not state one.
 	ColdFor time.Duration
+	// Limit is the rate of requests that the upstream takes from all hosts together.
+	Limit RateLimit
+}
+
+// RateLimit is a limit that an upstream states.
+type RateLimit struct {
+	// Known is false if the upstream stated no limit.
+	Known bool
+	// PerSecond is the number of requests per second.
+	PerSecond float64
 }
 
 // Codec translates between attempts or responses and a platform's headers.
