Reproduce LIMIT on the model of several hosts; tests fail

The model's upstream states a limit in its answers and counts, in windows of 4 s and summed over all hosts, what those send that passed on such an answer half a second before. Also covered: lists of hosts that differ, a limit that ends, one that is lowered.

--- /dev/null
+++ b/steering/limit_test.go
@@ -0,0 +1,106 @@
+package steering
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// A limit holds over modelLimitWindow, with a tolerance and a few requests more, for
+	// hosts that passed on an answer with it modelInformedFor before.
+	modelLimitWindow = 4 * time.Second
+	modelInformedFor = 500 * time.Millisecond
+	modelLimitOver   = 1.5
+	modelLimitSlack  = 5
+)
+
+// requireLimitHolds checks that the hosts that passed on an answer with the limit sent
+// at most that from then on.
+func (f *fleetModel) requireLimitHolds(limit float64) {
+	f.t.Helper()
+	counted := slices.DeleteFunc(slices.Clone(f.arrivals), func(a modelArrival) bool {
+		since, informed := f.informed[a.host]
+		return !informed || a.at < since.Add(modelInformedFor)
+	})
+	allowed := limit*modelLimitOver*modelLimitWindow.Seconds() + modelLimitSlack
+	require.LessOrEqual(f.t, float64(mostWithin(modelLimitWindow, counted)), allowed, "requests in 4 s at a limit of %g", limit)
+}
+
+// sentSince returns how many requests reached the upstream under test.
+func (f *fleetModel) sentSince(at machine.Instant) int {
+	n := 0
+	for _, a := range f.arrivals {
+		if a.at >= at {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against hosts that do not keep to a limit, or that each send at the whole limit.
+func TestStatedLimitHoldsOverAllHosts(t *testing.T) {
+	for _, hosts := range []int{12, 87, 295} {
+		for _, limit := range []float64{1, 4.6, 8.7, 30} {
+			f := newFleetModel(t, hosts)
+			f.demand = 150
+			f.run(2 * time.Second)
+			f.limit = limit
+			limited := f.now
+			f.run(20 * time.Second)
+			f.requireLimitHolds(limit)
+			require.Greater(t, f.sentSince(limited), int(limit*20/3), "the upstream gets a good part of its limit")
+		}
+	}
+}
+
+// Guards against hosts with different lists that together exceed a limit.
+func TestStatedLimitHoldsWithDifferentListsOfHosts(t *testing.T) {
+	f := newFleetModel(t, 24)
+	f.demand = 300
+	const first, second = 19, 22
+	before := slices.DeleteFunc(slices.Clone(f.hosts), func(h catalog.Host) bool { return h.ID == f.hosts[first].ID || h.ID == f.hosts[second].ID })
+	f.hosts[first].ID, f.hosts[second].ID = idAheadOf(before, "new"), idAheadOf(before, "newer")
+	for i := range f.tables {
+		list := before
+		if i == first || i == second {
+			list = f.hosts
+		}
+		f.tables[i] = f.newHost(i, list)
+	}
+	f.limit = 8.7
+	f.run(12 * time.Second)
+	f.requireLimitHolds(f.limit)
+}
+
+// Guards against a limit that stays in force after the upstream has stopped stating it.
+func TestStatedLimitEndsWithTheStatements(t *testing.T) {
+	f := newFleetModel(t, 12)
+	f.run(2 * time.Second)
+	f.limit = 4.6
+	f.run(6 * time.Second)
+	f.requireLimitHolds(f.limit)
+	f.limit = 0
+	f.run(20 * time.Second)
+	ended := f.now
+	f.run(4 * time.Second)
+	require.Greater(t, f.sentSince(ended), 60, "the upstream gets its usual requests again")
+}
+
+// Guards against a limit that is lowered later.
+func TestLoweredLimitHolds(t *testing.T) {
+	f := newFleetModel(t, 87)
+	f.run(2 * time.Second)
+	f.limit = 20
+	f.run(6 * time.Second)
+	f.limit = 5
+	f.run(4 * time.Second)
+	f.arrivals = nil
+	f.run(10 * time.Second)
+	f.requireLimitHolds(f.limit)
+}
