Keep to the limit that an upstream states, over all hosts

Cause: the header was not read. Five hosts of the region sent their usual share each, so a limit that each host keeps for itself would not have held either. Class: a rate that is summed over all hosts without an owner.

Four hosts, chosen by rendezvous hashing like the warm-up hosts, use a fifth of the limit each; all others stop as soon as they are told and send single requests in turn, three tenths of the limit together, so each finds out when the limit has ended. A response without the limit to a request that was sent after the last one with it ends it; the host that sees that notifies the others. A bucket holds one token, so the bound holds with a fifth and a sixth host whose lists of hosts differ.

The plain definition of the choice in pick_test.go covers limits, with the same bounds.

--- a/advisory/machine.go
+++ b/advisory/machine.go
@@ -41,6 +41,8 @@
 	Upstream Key
 	// ColdMillis is the remaining warm-up time; 0 if the upstream did not state one.
 	ColdMillis uint32
+	// LimitEnded is true if the upstream no longer states a limit.
+	LimitEnded bool
 }
 
 // ColdFor returns the remaining warm-up time.
--- a/edge/control.go
+++ b/edge/control.go
@@ -191,16 +191,20 @@
 // it matters for hosts that do not reach the store.
 func (e *Edge) publishChangedEntries(changed []steering.UpstreamChange) {
 	if e.freshWatcher.Load() {
-		e.publishCold(changed...)
+		e.publish(changed...)
 	}
 }
 
-// publishCold notifies the other hosts of the upstreams in a list that are cold.
-func (e *Edge) publishCold(changed ...steering.UpstreamChange) {
+// publish notifies the other hosts of what upstreams have stated.
+func (e *Edge) publish(changed ...steering.UpstreamChange) {
 	var list []advisory.Advisory
 	for _, c := range changed {
-		if c.ColdFor > 0 {
-			list = append(list, advisory.Advisory{Upstream: advisory.KeyOf(c.Upstream), ColdMillis: uint32(c.ColdFor.Milliseconds())})
+		a := advisory.Advisory{
+			Upstream: advisory.KeyOf(c.Upstream), ColdMillis: uint32(c.ColdFor.Milliseconds()),
+			LimitEnded: c.Description == steering.DescriptionLimitEnded,
+		}
+		if a.ColdMillis > 0 || a.LimitEnded {
+			list = append(list, a)
 		}
 	}
 	if len(list) > 0 && !e.loop.Post(e.modules.advisory, advisory.Publish{Advisories: list}) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -238,6 +238,9 @@
 	if c.ColdFor > 0 {
 		line = line.Dur("cold_for", c.ColdFor).Bool("warmup_host", c.WarmupHost)
 	}
+	if c.Limit >= 0 {
+		line = line.Float64("limit", c.Limit).Bool("limit_host", c.LimitHost)
+	}
 	return line
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -93,6 +93,7 @@
 		"upstreams.body_bytes": e.upstream.ResponseBytes,
 		"upstreams.known":      func() int64 { return int64(e.steering.UpstreamCount()) },
 		"upstreams.cold":       func() int64 { return int64(e.steering.ColdCount(e.now())) },
+		"upstreams.limited":    func() int64 { return int64(e.steering.LimitedCount()) },
 		"configuration.version": func() int64 {
 			if s := e.snapshot.Load(); s != nil {
 				return int64(s.Version)
--- a/steering/cold.go
+++ b/steering/cold.go
@@ -1,13 +1,8 @@
 package steering
 
 import (
-	"math"
-	"slices"
 	"time"
 
-	"github.com/catkinspring/catkinspring/advisory"
-	"github.com/catkinspring/catkinspring/catalog"
-	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -21,8 +16,7 @@
 	// unverifiedUntil is until when the upstream may have restarted without notice: its
 	// last attempts failed as if its process had ended.
 	unverifiedUntil machine.Instant
-	tokens          float64
-	refilledAt      machine.Instant
+	bucket          tokenBucket
 }
 
 // start begins or extends the warm-up phase. The bucket starts empty.
@@ -50,7 +44,7 @@
 // empty empties the bucket unless the upstream is cold already.
 func (l *warmupLimiter) empty(now machine.Instant) {
 	if !l.active(now) {
-		l.tokens, l.refilledAt = 0, now
+		l.bucket = tokenBucket{refilledAt: now}
 	}
 }
 
@@ -82,92 +76,21 @@
 	return rate * min(1, t.config.ColdTolerance/listDivergence) / float64(t.warmupHosts())
 }
 
-// admit takes a token if the upstream is cold, and reports whether it may get a
-// request. Invariant: all hosts together admit at most ColdTolerance * rate + ColdSlack
-// requests to a cold upstream in one second, also if up to listDivergence * warmupHosts
-// of them consider themselves warm-up hosts.
-func (t *Table) admit(now machine.Instant, m *member) bool {
-	if !m.limiter.active(now) {
-		return true
-	}
+// warmupBucket returns the bucket from which a request to a cold upstream takes a token,
+// or nil if this host may not send any. Invariant: all hosts together admit at most
+// ColdTolerance * rate + ColdSlack requests to a cold upstream in one second, also if up
+// to listDivergence * warmupHosts of them consider themselves warm-up hosts.
+func (t *Table) warmupBucket(now machine.Instant, m *member) *tokenBucket {
 	rate := t.warmup[m.Service].Rate
 	if rate <= 0 || !t.isWarmupHost(m) {
-		return false
-	}
-	l := &m.limiter
-	l.tokens = math.Min(1, l.tokens+now.Sub(l.refilledAt).Seconds()*t.warmupShare(rate))
-	l.refilledAt = now
-	if l.tokens < 1 {
-		return false
+		return nil
 	}
-	l.tokens--
-	return true
+	m.limiter.bucket.refill(now, t.warmupShare(rate))
+	return &m.limiter.bucket
 }
 
-// isWarmupHost reports whether this host is a warm-up host of an upstream. It determines
-// that once for each list of hosts.
+// isWarmupHost reports whether this host is a warm-up host of an upstream.
 func (t *Table) isWarmupHost(m *member) bool {
-	if m.warmupHostList != t.hostList {
-		m.warmupHost, m.warmupHostList = t.findWarmupHost(m), t.hostList
-	}
-	return m.warmupHost
-}
-
-// findWarmupHost reports whether this host is one of the first by rendezvous hashing
-// among the hosts in the upstream's region, or among all hosts if that region has none.
-// A host that is not in its own list is none: the other hosts do not count it either.
-func (t *Table) findWarmupHost(m *member) bool {
-	if !slices.ContainsFunc(t.hosts, func(h catalog.Host) bool { return h.ID == t.config.Host }) {
-		return false
-	}
-	sameRegion := t.config.Location.Region == m.Location.Region
-	regionHasHosts := false
-	for _, h := range t.hosts {
-		regionHasHosts = regionHasHosts || h.Location.Region == m.Location.Region
-	}
-	if regionHasHosts && !sameRegion {
-		return false
-	}
-	ownHash := hashPair(string(t.config.Host), string(m.ID))
-	ahead := 0
-	for _, h := range t.hosts {
-		if regionHasHosts && h.Location.Region != m.Location.Region || h.ID == t.config.Host {
-			continue
-		}
-		if hashPair(string(h.ID), string(m.ID)) > ownHash {
-			ahead++
-		}
-	}
-	return ahead < t.warmupHosts()
-}
-
-// Advise applies what other hosts were told by upstreams, and returns the changes.
-func (t *Table) Advise(now machine.Instant, list []advisory.Advisory) (changed []UpstreamChange) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	coldFor := make(map[advisory.Key]time.Duration, len(list))
-	for _, a := range list {
-		coldFor[a.Upstream] = a.ColdFor()
-	}
-	for _, m := range t.members {
-		d := coldFor[advisory.Key(m.hash)]
-		if d == 0 {
-			continue
-		}
-		wasCold := m.limiter.active(now)
-		m.limiter.start(now, d)
-		if !wasCold {
-			changed = append(changed, t.change(now, m, "another host knows that it is cold"))
-		}
-	}
-	return changed
-}
-
-// HostCountByRegion returns the number of hosts in each region.
-func HostCountByRegion(hosts []catalog.Host) map[fleet.Region]int {
-	count := make(map[fleet.Region]int)
-	for _, h := range hosts {
-		count[h.Location.Region]++
-	}
-	return count
+	rank := t.rankOf(m).inRegion
+	return rank != unranked && rank < t.warmupHosts()
 }
--- /dev/null
+++ b/steering/limit.go
@@ -0,0 +1,107 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/upstream"
+)
+
+const (
+	// maxLimitHosts is the number of hosts that share the limit of one upstream. All
+	// others stop sending, except for trials.
+	maxLimitHosts = 4
+	// limitHostShare is the part of the limit that one of them uses. It leaves room for
+	// two more hosts, whose lists of hosts differ, within the tolerance of 1.5.
+	limitHostShare = 0.2
+	// trialShare is the part of the limit that the trials of all other hosts use.
+	trialShare = 0.3
+	// minTrialInterval and maxTrialInterval bound the time between two trials of a host.
+	minTrialInterval = 2 * time.Second
+	maxTrialInterval = 5 * time.Minute
+)
+
+// statedLimit is the limit that an upstream states, for all hosts together, and this
+// host's part in it.
+type statedLimit struct {
+	known     bool
+	perSecond float64
+	// statedAt is when the last response with the limit arrived.
+	statedAt machine.Instant
+	bucket   tokenBucket
+	// trialAt is when a host that has no share of the limit may send a request, to find
+	// out whether the limit still exists. The trials of all hosts are spread evenly.
+	trialAt machine.Instant
+}
+
+// Descriptions of changes of a limit.
+const (
+	descriptionLimitStated  = "states a limit"
+	descriptionLimitChanged = "changed its limit"
+	// DescriptionLimitEnded describes an upstream that no longer states a limit.
+	DescriptionLimitEnded = "states no limit any more"
+)
+
+// recordLimit applies the limit of a response, or its absence, and describes the change,
+// if any. A response to a request that was sent before the last response with a limit
+// does not end it.
+func (t *Table) recordLimit(now machine.Instant, m *member, r upstream.Result) (change string) {
+	stated, l := r.Response.Limit, &m.limit
+	switch {
+	case !stated.Known && l.known && now.Add(-r.Took) > l.statedAt:
+		*l = statedLimit{}
+		return DescriptionLimitEnded
+	case !stated.Known:
+		return ""
+	case !l.known:
+		*l = statedLimit{known: true, perSecond: stated.PerSecond, statedAt: now, bucket: tokenBucket{refilledAt: now}}
+		interval := t.trialInterval(m)
+		l.trialAt = now.Add(time.Duration(float64(interval) * float64(t.rankOf(m).overall+1) / float64(max(1, len(t.hosts)))))
+		return descriptionLimitStated
+	}
+	l.statedAt = now
+	if l.perSecond == stated.PerSecond {
+		return ""
+	}
+	l.perSecond = stated.PerSecond
+	return descriptionLimitChanged
+}
+
+// isLimitHost reports whether this host has a share of the limit of an upstream.
+func (t *Table) isLimitHost(m *member) bool {
+	rank := t.rankOf(m).inRegion
+	return rank != unranked && rank < maxLimitHosts
+}
+
+// limitBucket returns the bucket from which a request to an upstream with a limit takes
+// a token, or nil if this host may not send any. Invariant: the limit hosts admit at
+// most maxLimitHosts requests at once and maxLimitHosts * limitHostShare of the limit,
+// the trials of the others trialShare of it.
+func (t *Table) limitBucket(now machine.Instant, m *member) *tokenBucket {
+	l := &m.limit
+	if t.isLimitHost(m) {
+		l.bucket.refill(now, limitHostShare*l.perSecond)
+		return &l.bucket
+	}
+	if !t.trialDue(now, m) {
+		return nil
+	}
+	l.trialAt = now.Add(t.trialInterval(m))
+	l.bucket = tokenBucket{tokens: 1, refilledAt: now}
+	return &l.bucket
+}
+
+// trialDue reports whether this host may try an upstream of whose limit it has no share.
+func (t *Table) trialDue(now machine.Instant, m *member) bool {
+	return now >= m.limit.trialAt && m.inFlight == 0
+}
+
+// trialInterval returns the time between two trials of one host.
+func (t *Table) trialInterval(m *member) time.Duration {
+	rate := trialShare * m.limit.perSecond
+	if rate <= 0 || len(t.hosts) == 0 {
+		return maxTrialInterval
+	}
+	interval := float64(len(t.hosts)) / rate * float64(time.Second)
+	return time.Duration(min(float64(maxTrialInterval), max(float64(minTrialInterval), interval)))
+}
--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -78,18 +78,26 @@
 	f.requireLimitHolds(f.limit)
 }
 
-// Guards against a limit that stays in force after the upstream has stopped stating it.
+// Guards against a limit that stays in force after the upstream has stopped stating it,
+// also when no message tells the other hosts.
 func TestStatedLimitEndsWithTheStatements(t *testing.T) {
-	f := newFleetModel(t, 12)
-	f.run(2 * time.Second)
-	f.limit = 4.6
-	f.run(6 * time.Second)
-	f.requireLimitHolds(f.limit)
-	f.limit = 0
-	f.run(20 * time.Second)
-	ended := f.now
-	f.run(4 * time.Second)
-	require.Greater(t, f.sentSince(ended), 60, "the upstream gets its usual requests again")
+	for _, c := range []struct {
+		hosts      int
+		advisories bool
+		within     time.Duration
+	}{{12, false, 20 * time.Second}, {87, true, 4 * time.Second}} {
+		f := newFleetModel(t, c.hosts)
+		f.advisories = c.advisories
+		f.run(2 * time.Second)
+		f.limit = 4.6
+		f.run(6 * time.Second)
+		f.requireLimitHolds(f.limit)
+		f.limit = 0
+		f.run(c.within)
+		ended := f.now
+		f.run(4 * time.Second)
+		require.Greater(t, f.sentSince(ended), 60, "the upstream gets its usual requests again")
+	}
 }
 
 // Guards against a limit that is lowered later.
--- a/steering/model_test.go
+++ b/steering/model_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinspring/catkinspring/advisory"
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
@@ -43,6 +44,8 @@
 	running  []modelRequest
 	// limit is the rate that the upstream under test states in its answers; 0 if none.
 	limit float64
+	// advisories is true if hosts notify the others of limits that have ended.
+	advisories bool
 	// informed is since when each host has passed on an answer with a limit.
 	informed map[int]machine.Instant
 	arrivals []modelArrival
@@ -125,7 +128,12 @@
 			f.informed[r.host] = f.now
 		}
 	}
-	f.tables[r.host].Done(f.now, r.id, upstream.Result{Outcome: upstream.Answered, Took: modelServiceTime, Response: response})
+	change := f.tables[r.host].Done(f.now, r.id, upstream.Result{Outcome: upstream.Answered, Took: modelServiceTime, Response: response})
+	if change.Description == DescriptionLimitEnded && f.advisories {
+		for _, t := range f.tables {
+			t.Advise(f.now, []advisory.Advisory{{Upstream: advisory.KeyOf(r.id), LimitEnded: true}})
+		}
+	}
 }
 
 // request sends the next request at the next host of region b.
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -180,14 +180,14 @@
 }
 
 // choose returns the chosen upstream of a region, or the zero candidate. It considers
-// the first two healthy upstreams that are warm, and cold ones before the second of
-// them. Requests sent further down the order find cold caches, take three times as long
+// the first two healthy upstreams without a shared rate, and those with one before the
+// second of them, while this host has a token for them. Requests sent further down the order find cold caches, take three times as long
 // and evict what the upstream has cached, which turns a short overload into a lasting
 // one.
 func (t *Table) choose(now machine.Instant, r *Request, members []*member) candidate {
-	first, second := t.firstWarm(now, r, members)
-	if cold := t.firstCold(now, r, members, second.score); cold.member != nil {
-		return cold
+	first, second := t.firstUnrestricted(now, r, members)
+	if restricted := t.firstRestricted(now, r, members, second.score); restricted.member != nil {
+		return restricted
 	}
 	switch {
 	case first.member == nil:
@@ -204,11 +204,12 @@
 	return candidate{}
 }
 
-// firstWarm returns the first two healthy and warm upstreams in the order of the object.
-func (t *Table) firstWarm(now machine.Instant, r *Request, members []*member) (first, second candidate) {
+// firstUnrestricted returns the first two healthy upstreams without a shared rate in the
+// order of the object.
+func (t *Table) firstUnrestricted(now machine.Instant, r *Request, members []*member) (first, second candidate) {
 	for _, m := range members {
 		score := r.score(m)
-		if score <= second.score || m.limiter.active(now) || !m.healthy(now) || slices.Contains(r.Exclude, m.ID) {
+		if score <= second.score || t.restricted(now, m) || !m.healthy(now) || slices.Contains(r.Exclude, m.ID) {
 			continue
 		}
 		if second = (candidate{member: m, score: score}); score > first.score {
@@ -223,14 +224,14 @@
 	return first, second
 }
 
-// firstCold returns the first cold upstream with a score above min that is healthy, has
-// a free slot and may get a request of this host.
-func (t *Table) firstCold(now machine.Instant, r *Request, members []*member, min uint64) candidate {
+// firstRestricted returns the first upstream with a shared rate and a score above min
+// that is healthy, has a free slot and may get a request of this host.
+func (t *Table) firstRestricted(now machine.Instant, r *Request, members []*member, min uint64) candidate {
 	for below := uint64(math.MaxUint64); ; {
 		next := candidate{score: min}
 		for _, m := range members {
-			if score := r.score(m); score > next.score && score < below && m.limiter.active(now) &&
-				t.isWarmupHost(m) && m.healthy(now) && !slices.Contains(r.Exclude, m.ID) {
+			if score := r.score(m); score > next.score && score < below && t.restricted(now, m) &&
+				t.mayAdmit(now, m) && m.healthy(now) && !slices.Contains(r.Exclude, m.ID) {
 				next = candidate{member: m, score: score}
 			}
 		}
--- a/steering/pick_test.go
+++ b/steering/pick_test.go
@@ -33,7 +33,7 @@
 	for _, c := range order {
 		switch {
 		case len(warm) == 2 || !c.healthy(now):
-		case !c.limiter.active(now):
+		case !t.restricted(now, c.member):
 			warm = append(warm, c)
 		case c.load < float64(c.Slots) && t.admit(now, c.member):
 			return c
@@ -64,9 +64,9 @@
 		m := table.members[id]
 		m.inFlight = random.IntN(9)
 		m.otherHostsLoad, m.otherHostsLoadAt = float64(random.IntN(4)), now
-		switch random.IntN(6) {
+		switch random.IntN(7) {
 		case 0:
-			m.limiter = warmupLimiter{coldUntil: now.Add(time.Minute), tokens: float64(random.IntN(2)), refilledAt: now}
+			m.limiter = warmupLimiter{coldUntil: now.Add(time.Minute), bucket: tokenBucket{tokens: float64(random.IntN(2)), refilledAt: now}}
 		case 1:
 			m.ejectedUntil = now.Add(time.Second)
 		case 2:
@@ -75,6 +75,11 @@
 			m.failures, m.inFlight = 1, random.IntN(2)
 		case 4:
 			m.Draining = random.IntN(2) == 0
+		case 5:
+			m.limit = statedLimit{
+				known: random.IntN(2) == 0, perSecond: 2, statedAt: now, trialAt: now.Add(time.Duration(random.IntN(2))),
+				bucket: tokenBucket{tokens: float64(random.IntN(2)), refilledAt: now},
+			}
 		}
 	}
 	table.rebuildPools()
@@ -85,7 +90,7 @@
 // upstreams, which would send an object to different upstreams on different hosts.
 func TestChooseFollowsThePlainDefinition(t *testing.T) {
 	now := machine.Instant(time.Hour)
-	chosen, cold, refused := 0, 0, 0
+	chosen, cold, limited, refused := 0, 0, 0, 0
 	for seed := range uint64(20000) {
 		actual, ids := randomTable(seed, now)
 		expected, _ := randomTable(seed, now)
@@ -108,10 +113,14 @@
 			if got.limiter.active(now) {
 				cold++
 			}
+			if got.limit.known {
+				limited++
+			}
 		}
 	}
 	require.Greater(t, chosen, 1000)
 	require.Greater(t, cold, 200)
+	require.Greater(t, limited, 200)
 	require.Greater(t, refused, 200)
 }
 
--- a/steering/table.go
+++ b/steering/table.go
@@ -80,14 +80,16 @@
 	// startedAt is when this host was notified of the upstream's start; 0 if the
 	// upstream was in the first list.
 	startedAt machine.Instant
-	// warmupHost is true if this host is a warm-up host of the upstream, according to
-	// the list of hosts with the number warmupHostList; see isWarmupHost.
-	warmupHost     bool
-	warmupHostList int
+	// limit is the limit that the upstream states.
+	limit statedLimit
+	// rank is this host's rank for the upstream in the list of hosts with the number
+	// rankList; see rankOf.
+	rank     hostRank
+	rankList int
 }
 
 func newMember(item catalog.Upstream) *member {
-	return &member{Upstream: item, hash: uint64(advisory.KeyOf(item.ID)), warmupHostList: -1}
+	return &member{Upstream: item, hash: uint64(advisory.KeyOf(item.ID)), rankList: -1}
 }
 
 // Table chooses upstreams. It is safe for concurrent use.
@@ -167,6 +169,10 @@
 	ColdFor time.Duration
 	// WarmupHost is true if this host may send requests to the cold upstream.
 	WarmupHost bool
+	// Limit is the limit that the upstream states for all hosts together, in requests
+	// per second; negative if it states none. LimitHost is true if this host has a share.
+	Limit     float64
+	LimitHost bool
 }
 
 // DescriptionStatesCold describes an upstream that stated in a response that it is cold.
@@ -174,7 +180,10 @@
 
 // change returns a change of an upstream with its warm-up state.
 func (t *Table) change(now machine.Instant, m *member, description string) UpstreamChange {
-	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description}
+	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description, Limit: -1}
+	if m.limit.known {
+		c.Limit, c.LimitHost = m.limit.perSecond, t.isLimitHost(m)
+	}
 	if m.limiter.active(now) {
 		c.ColdFor, c.WarmupHost = m.limiter.until().Sub(now), t.isWarmupHost(m)
 	}
@@ -398,6 +407,11 @@
 		m.otherHostsLoadAt = now
 	}
 	description := t.record(now, m, r)
+	if r.Outcome == upstream.Answered || r.Outcome == upstream.Refused {
+		if change := t.recordLimit(now, m, r); change != "" {
+			description = change
+		}
+	}
 	if r.Response != nil && r.Response.ColdFor > 0 {
 		if !m.limiter.active(now) {
 			description = DescriptionStatesCold
@@ -508,6 +522,19 @@
 	return cold
 }
 
+// LimitedCount returns the number of upstreams in the table that state a limit.
+func (t *Table) LimitedCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limited := 0
+	for _, m := range t.members {
+		if m.limit.known {
+			limited++
+		}
+	}
+	return limited
+}
+
 // UpstreamCount returns the number of upstreams in the table.
 func (t *Table) UpstreamCount() int {
 	t.mu.Lock()
