Send nothing more to an upstream that states that it is leaving

The header was not read, so hosts went on sending until the entry changed, which may come late or not at all for a host that does not reach the store. A host that has passed on such an answer now takes the upstream out of its pools until it starts again.

TestUpstreamThatStatesThatItLeavesGetsNoMoreRequests, over two hosts, failed before (requests still ran at u-1) and passes.

--- a/steering/table.go
+++ b/steering/table.go
@@ -80,6 +80,9 @@
 	// startedAt is when this host was notified of the upstream's start; 0 if the
 	// upstream was in the first list.
 	startedAt machine.Instant
+	// leaving is true once the upstream has stated that it is about to stop. Its entry
+	// may never say so.
+	leaving bool
 	// limit is the limit that the upstream states.
 	limit statedLimit
 	// rank is this host's rank for the upstream in the list of hosts with the number
@@ -377,8 +380,10 @@
 }
 
 // usable reports whether an upstream may get requests, that is, whether it is neither
-// draining nor in an evacuated failure domain.
-func (t *Table) usable(m *member) bool { return !m.Draining && !t.evacuated[m.Location.FailureDomain] }
+// draining or leaving nor in an evacuated failure domain.
+func (t *Table) usable(m *member) bool {
+	return !m.Draining && !m.leaving && !t.evacuated[m.Location.FailureDomain]
+}
 
 // load returns the estimated load of an upstream: this host's own requests plus the
 // decayed load from other hosts that the upstream last reported.
@@ -411,6 +416,11 @@
 		if change := t.recordLimit(now, m, r); change != "" {
 			description = change
 		}
+		if r.Response.Leaving && !m.leaving {
+			m.leaving = true
+			t.rebuildPools()
+			description = "states that it is leaving"
+		}
 	}
 	if r.Response != nil && r.Response.ColdFor > 0 {
 		if !m.limiter.active(now) {
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -34,6 +34,8 @@
 	Load        Load
 	// ColdFor is the remaining warm-up time; 0 if the upstream did not state one.
 	ColdFor time.Duration
+	// Leaving is true if the upstream states that it is about to stop.
+	Leaving bool
 	// Limit is the rate of requests that the upstream takes from all hosts together.
 	Limit RateLimit
 }
