Keep the pause that an upstream asks for when it turns a request away

The host now ejects the upstream for that time; a shorter backoff does not shorten it. Each host keeps the pause that it was asked for.

--- a/steering/table.go
+++ b/steering/table.go
@@ -70,7 +70,9 @@
 	otherHostsLoadAt machine.Instant
 
 	// failures counts connection failures since the last answer.
-	failures     int
+	failures int
+	// ejectedUntil is until when the upstream gets no requests, after a failure or
+	// because it asked for a pause.
 	ejectedUntil machine.Instant
 	// failureRate is the moving average (EWMA) of failed attempts at failureRateAt.
 	failureRate   float64
@@ -416,6 +418,10 @@
 		if change := t.recordLimit(now, m, r); change != "" {
 			description = change
 		}
+		if r.Response.Pause > 0 {
+			m.eject(now, r.Response.Pause)
+			description = "asks for a pause"
+		}
 		if r.Response.Leaving && !m.leaving {
 			m.leaving = true
 			t.rebuildPools()
@@ -453,7 +459,7 @@
 		full := r.Response.Load.Known && r.Response.Load.Running >= m.Slots
 		m.recordOutcome(now, !full)
 	case upstream.Misdirected:
-		m.ejectedUntil = now.Add(maxBackoff)
+		m.eject(now, maxBackoff)
 		return "address belongs to another upstream"
 	case upstream.Unreachable:
 		m.recordOutcome(now, true)
@@ -483,12 +489,17 @@
 // failure of an unresponsive machine may be a lost packet.
 func (t *Table) recordFailure(now machine.Instant, m *member, unresponsive bool) {
 	m.failures++
-	m.ejectedUntil = now.Add(backoff(m.failures))
+	m.eject(now, backoff(m.failures))
 	if !unresponsive || m.failures > 1 {
 		m.limiter.suspect(now, t.config.EntryLapse+t.warmup[m.Service].SlowStart)
 	}
 }
 
+// eject keeps requests from an upstream for d.
+func (m *member) eject(now machine.Instant, d time.Duration) {
+	m.ejectedUntil = max(m.ejectedUntil, now.Add(d))
+}
+
 // recordServiceTime adds the duration of an answered request to the averages.
 func (p *pool) recordServiceTime(took time.Duration, local bool) {
 	p.serviceTime = movingAverage(p.serviceTime, took.Seconds())
