--- a/edge/control.go
+++ b/edge/control.go
@@ -199,12 +199,10 @@
 func (e *Edge) publish(changed ...steering.UpstreamChange) {
 	var list []advisory.Advisory
 	for _, c := range changed {
-		a := advisory.Advisory{
-			Upstream: advisory.KeyOf(c.Upstream), ColdMillis: uint32(c.ColdFor.Milliseconds()),
-			LimitEnded: c.Description == steering.DescriptionLimitEnded,
-		}
-		if a.ColdMillis > 0 || a.LimitEnded {
-			list = append(list, a)
+		if c.StatedColdFor > 0 || c.LimitEnded {
+			list = append(list, advisory.Advisory{
+				Upstream: advisory.KeyOf(c.Upstream), ColdMillis: uint32(c.StatedColdFor.Milliseconds()), LimitEnded: c.LimitEnded,
+			})
 		}
 	}
 	if len(list) > 0 && !e.loop.Post(e.modules.advisory, advisory.Publish{Advisories: list}) {
--- a/edge/request.go
+++ b/edge/request.go
@@ -223,9 +223,7 @@
 func (r *request) reportAttempt() {
 	if change := r.e.steering.Done(r.e.now(), r.choice.ID, r.last); change.Description != "" {
 		upstreamChanged(r.e.log.Info(), change).Str("request", r.fields.ID).AnErr("cause", r.last.Err).Msg("upstream changed")
-		if change.Description == steering.DescriptionStatesCold || change.Description == steering.DescriptionLimitEnded {
-			r.e.publish(change)
-		}
+		r.e.publish(change)
 	}
 }
 
--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -12,6 +12,7 @@
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/upstream"
 )
 
 // Guards against hosts that all warm up every upstream until they have a list of hosts.
@@ -112,7 +113,7 @@
 	_, changed := f.tables[0].Apply(f.now, catalog.Update[catalog.Upstream]{Changes: []catalog.Change[catalog.Upstream]{{Name: "u-1", Item: f.entries[0]}}})
 	require.Len(t, changed, 1)
 	publisher.Step(machine.Now{}, advisory.Publish{Advisories: []advisory.Advisory{
-		{Upstream: advisory.KeyOf("u-1"), ColdMillis: uint32(changed[0].ColdFor.Milliseconds())},
+		{Upstream: advisory.KeyOf("u-1"), ColdMillis: uint32(changed[0].StatedColdFor.Milliseconds())},
 	}})
 	for _, out := range publisher.Step(machine.Now{}, machine.Tick{}) {
 		send := out.(machine.Send)
@@ -124,6 +125,21 @@
 	f.requireNoFlood()
 }
 
+// Guards against a host that makes all others avoid upstreams which only it can't reach.
+func TestSuspicionsAreNotStatements(t *testing.T) {
+	tb := newTable(0, upstreamsIn(1))
+	c, _ := tb.Pick(2*second, requestFor("x"))
+	change := tb.Done(2*second, c.ID, upstream.Result{Outcome: upstream.Unreachable})
+	require.Positive(t, change.ColdFor)
+	require.Zero(t, change.StatedColdFor)
+	draining := entry(1, "a")
+	draining.Draining = true
+	_, changed := tb.Apply(3*second, catalog.Update[catalog.Upstream]{Changes: []catalog.Change[catalog.Upstream]{{Name: "u-1", Item: draining}}})
+	require.Len(t, changed, 1)
+	require.Positive(t, changed[0].ColdFor)
+	require.Zero(t, changed[0].StatedColdFor)
+}
+
 // idAheadOf returns a host ID with a prefix that ranks ahead of a list of hosts among
 // the warm-up hosts of "u-1".
 func idAheadOf(list []catalog.Host, prefix string) fleet.HostID {
--- a/steering/limit.go
+++ b/steering/limit.go
@@ -34,37 +34,29 @@
 	trialAt machine.Instant
 }
 
-// Descriptions of changes of a limit.
-const (
-	descriptionLimitStated  = "states a limit"
-	descriptionLimitChanged = "changed its limit"
-	// DescriptionLimitEnded describes an upstream that no longer states a limit.
-	DescriptionLimitEnded = "states no limit any more"
-)
-
-// recordLimit applies the limit of a response, or its absence, and describes the change,
-// if any. A response to a request that was sent before the last response with a limit
-// does not end it.
-func (t *Table) recordLimit(now machine.Instant, m *member, r upstream.Result) (change string) {
+// recordLimit applies the limit of a response, or its absence, and describes the change
+// and whether the limit has ended. A response to a request that was sent before the last
+// response with a limit does not end it.
+func (t *Table) recordLimit(now machine.Instant, m *member, r upstream.Result) (change string, ended bool) {
 	stated, l := r.Response.Limit, &m.limit
 	switch {
 	case !stated.Known && l.known && now.Add(-r.Took) > l.statedAt:
 		*l = statedLimit{}
-		return DescriptionLimitEnded
+		return "states no limit any more", true
 	case !stated.Known:
-		return ""
+		return "", false
 	case !l.known:
 		*l = statedLimit{known: true, perSecond: stated.PerSecond, statedAt: now, bucket: tokenBucket{refilledAt: now}}
 		interval := t.trialInterval(m)
 		l.trialAt = now.Add(time.Duration(float64(interval) * float64(t.rankOf(m).overall+1) / float64(max(1, len(t.hosts)))))
-		return descriptionLimitStated
+		return "states a limit", false
 	}
 	l.statedAt = now
 	if l.perSecond == stated.PerSecond {
-		return ""
+		return "", false
 	}
 	l.perSecond = stated.PerSecond
-	return descriptionLimitChanged
+	return "changed its limit", false
 }
 
 // isLimitHost reports whether this host has a share of the limit of an upstream.
--- a/steering/model_test.go
+++ b/steering/model_test.go
@@ -129,7 +129,7 @@
 		}
 	}
 	change := f.tables[r.host].Done(f.now, r.id, upstream.Result{Outcome: upstream.Answered, Took: modelServiceTime, Response: response})
-	if change.Description == DescriptionLimitEnded && f.advisories {
+	if change.LimitEnded && f.advisories {
 		for _, t := range f.tables {
 			t.Advise(f.now, []advisory.Advisory{{Upstream: advisory.KeyOf(r.id), LimitEnded: true}})
 		}
--- a/steering/table.go
+++ b/steering/table.go
@@ -165,36 +165,6 @@
 	}
 }
 
-// UpstreamChange describes what happened to one upstream, for the log.
-type UpstreamChange struct {
-	Upstream    fleet.Upstream
-	Service     fleet.Pool
-	Description string
-	// ColdFor is the remaining warm-up time; 0 if the upstream is warm.
-	ColdFor time.Duration
-	// WarmupHost is true if this host may send requests to the cold upstream.
-	WarmupHost bool
-	// Limit is the limit that the upstream states for all hosts together, in requests
-	// per second; negative if it states none. LimitHost is true if this host has a share.
-	Limit     float64
-	LimitHost bool
-}
-
-// DescriptionStatesCold describes an upstream that stated in a response that it is cold.
-const DescriptionStatesCold = "states that it is cold"
-
-// change returns a change of an upstream with its warm-up state.
-func (t *Table) change(now machine.Instant, m *member, description string) UpstreamChange {
-	c := UpstreamChange{Upstream: m.ID, Service: m.Service, Description: description, Limit: -1}
-	if m.limit.known {
-		c.Limit, c.LimitHost = m.limit.perSecond, t.isLimitHost(m)
-	}
-	if m.limiter.active(now) {
-		c.ColdFor, c.WarmupHost = m.limiter.until().Sub(now), t.isWarmupHost(m)
-	}
-	return c
-}
-
 // Apply applies changes of the upstreams' entries. It returns the upstreams that were
 // removed and a description of all changes.
 func (t *Table) Apply(now machine.Instant, u catalog.Update[catalog.Upstream]) (removed []upstream.Target, changed []UpstreamChange) {
@@ -231,20 +201,20 @@
 // set adds or updates an upstream and appends the description of the change, if any.
 func (t *Table) set(now machine.Instant, item catalog.Upstream, changed []UpstreamChange) []UpstreamChange {
 	m := t.members[item.ID]
-	description := ""
+	description, statedColdFor := "", item.ColdFor
 	switch {
 	case m == nil:
 		m = newMember(item)
 		t.members[item.ID] = m
 		description = "added"
 		if t.listed {
-			t.started(now, m)
+			statedColdFor = max(statedColdFor, t.started(now, m))
 		}
 	case m.StartedMillis != item.StartedMillis:
 		inFlight := m.inFlight
 		*m = *newMember(item)
 		m.inFlight = inFlight
-		t.started(now, m)
+		statedColdFor = max(statedColdFor, t.started(now, m))
 		description = "started again"
 	case m.Draining != item.Draining:
 		description = "draining changed"
@@ -261,13 +231,18 @@
 	if description == "" {
 		return changed
 	}
-	return append(changed, t.change(now, m, description))
+	c := t.change(now, m, description)
+	c.StatedColdFor = statedColdFor
+	return append(changed, c)
 }
 
-// started begins the warm-up phase of an upstream that has started.
-func (t *Table) started(now machine.Instant, m *member) {
+// started begins the warm-up phase of an upstream that has started, and returns its
+// length.
+func (t *Table) started(now machine.Instant, m *member) time.Duration {
+	slowStart := t.warmup[m.Service].SlowStart
 	m.startedAt = now
-	m.limiter.start(now, t.warmup[m.Service].SlowStart)
+	m.limiter.start(now, slowStart)
+	return slowStart
 }
 
 func (t *Table) remove(now machine.Instant, id fleet.Upstream, removed []upstream.Target, changed []UpstreamChange) ([]upstream.Target, []UpstreamChange) {
@@ -398,138 +373,6 @@
 	return decayed(m.failureRate, now.Sub(m.failureRateAt), failureRateHalfLife)
 }
 
-// Done records the result of an attempt and returns the change to the upstream's state
-// for the log; its Description is empty if there is none.
-func (t *Table) Done(now machine.Instant, id fleet.Upstream, r upstream.Result) UpstreamChange {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.members[id]
-	if m == nil {
-		return UpstreamChange{}
-	}
-	m.inFlight = max(0, m.inFlight-1)
-	if r.Response != nil && r.Response.Load.Known {
-		l := r.Response.Load
-		m.otherHostsLoad = max(0, float64(l.Running+l.Waiting-m.inFlight))
-		m.otherHostsLoadAt = now
-	}
-	description := t.record(now, m, r)
-	if r.Outcome == upstream.Answered || r.Outcome == upstream.Refused {
-		if change := t.recordLimit(now, m, r); change != "" {
-			description = change
-		}
-		if r.Response.Pause > 0 {
-			m.eject(now, r.Response.Pause)
-			description = "asks for a pause"
-		}
-		if r.Response.Leaving && !m.leaving {
-			m.leaving = true
-			t.rebuildPools()
-			description = "states that it is leaving"
-		}
-	}
-	if r.Response != nil && r.Response.ColdFor > 0 {
-		if !m.limiter.active(now) {
-			description = DescriptionStatesCold
-		}
-		m.limiter.start(now, r.Response.ColdFor)
-	}
-	if description != "" {
-		return t.change(now, m, description)
-	}
-	return UpstreamChange{}
-}
-
-// record applies the result of an attempt to the upstream's state and describes the
-// change, if any.
-func (t *Table) record(now machine.Instant, m *member, r upstream.Result) (change string) {
-	switch r.Outcome {
-	case upstream.Answered:
-		t.services[m.Service].recordServiceTime(r.Took, m.Location.Region == t.config.Location.Region)
-		m.recordOutcome(now, r.Response.Status >= 500)
-		if m.failures > 0 {
-			m.failures = 0
-			if m.limiter.suspected(now) {
-				m.limiter.verify(now, t.warmup[m.Service].SlowStart)
-			}
-			return "answers again"
-		}
-	case upstream.Refused:
-		// A refusal despite free slots counts as a failure.
-		full := r.Response.Load.Known && r.Response.Load.Running >= m.Slots
-		m.recordOutcome(now, !full)
-	case upstream.Misdirected:
-		m.eject(now, maxBackoff)
-		return "address belongs to another upstream"
-	case upstream.Unreachable:
-		m.recordOutcome(now, true)
-		t.recordFailure(now, m, r.Unresponsive)
-		return "unreachable"
-	case upstream.Broken:
-		m.recordOutcome(now, true)
-		if r.Reused && !r.Unresponsive {
-			// The upstream may have closed the connection as idle.
-			return "connection broke"
-		}
-		t.recordFailure(now, m, r.Unresponsive)
-		if r.Unresponsive {
-			return "silent"
-		}
-		return "broke a new connection"
-	case upstream.TimedOut:
-		m.recordOutcome(now, true)
-	case upstream.Cancelled:
-	}
-	return ""
-}
-
-// recordFailure ejects an upstream whose process may have ended. It may restart under
-// the same ID, and this host's copy of its entry be older than that; without a new
-// entry, the restart is excluded only once the old entry would have lapsed. A single
-// failure of an unresponsive machine may be a lost packet.
-func (t *Table) recordFailure(now machine.Instant, m *member, unresponsive bool) {
-	m.failures++
-	m.eject(now, backoff(m.failures))
-	if !unresponsive || m.failures > 1 {
-		m.limiter.suspect(now, t.config.EntryLapse+t.warmup[m.Service].SlowStart)
-	}
-}
-
-// eject keeps requests from an upstream for d.
-func (m *member) eject(now machine.Instant, d time.Duration) {
-	m.ejectedUntil = max(m.ejectedUntil, now.Add(d))
-}
-
-// recordServiceTime adds the duration of an answered request to the averages.
-func (p *pool) recordServiceTime(took time.Duration, local bool) {
-	p.serviceTime = movingAverage(p.serviceTime, took.Seconds())
-	if local {
-		p.localServiceTime = movingAverage(p.localServiceTime, took.Seconds())
-	}
-}
-
-// movingAverage returns the average service time (EWMA) with one more answer.
-func movingAverage(mean, seconds float64) float64 {
-	if mean == 0 {
-		return seconds
-	}
-	return mean + serviceTimeWeight*(seconds-mean)
-}
-
-// recordOutcome adds an attempt to the failure rate.
-func (m *member) recordOutcome(now machine.Instant, failed bool) {
-	rate := m.currentFailureRate(now) * (1 - failureRateWeight)
-	if failed {
-		rate += failureRateWeight
-	}
-	m.failureRate, m.failureRateAt = rate, now
-}
-
-// backoff returns how long an upstream gets no requests after that many failures.
-func backoff(failures int) time.Duration {
-	return min(maxBackoff, minBackoff<<min(failures-1, 4))
-}
-
 // ColdCount returns the number of cold upstreams in the table.
 func (t *Table) ColdCount(now machine.Instant) int {
 	t.mu.Lock()
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -245,8 +245,8 @@
 		Outcome:  upstream.Answered,
 		Response: &upstream.Response{Status: 200, Fields: upstream.Fields{ColdFor: time.Second}},
 	})
-	require.Equal(t, DescriptionStatesCold, change.Description)
-	require.Equal(t, time.Second, change.ColdFor)
+	require.Equal(t, "states that it is cold", change.Description)
+	require.Equal(t, time.Second, change.StatedColdFor)
 	_, refusal = tb.Pick(2*second, requestFor("x"))
 	require.Equal(t, Full, refusal, "the token bucket starts empty")
 	_, refusal = tb.Pick(3*second, requestFor("x"))
