--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -33,6 +33,8 @@
 	Item T
 	// Removed is true if the object was deleted or its content is unusable.
 	Removed bool
+	// Unusable is true if the object exists, but its content is unusable.
+	Unusable bool
 }
 
 // State is the content of one kind of object, or the changes to it, as of a store
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -154,7 +154,10 @@
 // followKind keeps the local copy of one kind up to date.
 func followKind[T any](ctx context.Context, group *conc.WaitGroup, e *Edge, k kind, s catalog.Source[T], apply func(catalog.Update[T])) {
 	observer := catalog.Observer[T]{
-		Apply:       apply,
+		Apply: func(u catalog.Update[T]) {
+			e.logUnusable(k, u.Revision, unusable(u.Changes))
+			apply(u)
+		},
 		Unreachable: func(err error) { e.log.Warn().Stringer("kind", k).Err(err).Msg("store is not reachable") },
 		Reachable:   func() { e.log.Info().Stringer("kind", k).Msg("store is reachable again") },
 	}
@@ -174,6 +177,25 @@
 	group.Go(func() { catalog.Follow(ctx, s, options, observer) })
 }
 
+// unusable returns the names of objects whose content is unusable.
+func unusable[T any](changes []catalog.Change[T]) []string {
+	var names []string
+	for _, c := range changes {
+		if c.Unusable {
+			names = append(names, c.Name)
+		}
+	}
+	return names
+}
+
+// logUnusable logs objects of other writers that are left out.
+func (e *Edge) logUnusable(k kind, revision uint64, names []string) {
+	if len(names) > 0 {
+		e.log.Warn().Stringer("kind", k).Uint64("store", revision).Int("objects", len(names)).
+			Strs("names", names[:min(len(names), maxLoggedChanges)]).Msg("unusable objects in the store")
+	}
+}
+
 // objectMap is a copy of all objects of a kind by name.
 type objectMap[T any] map[string]T
 
