Requests without an ID use a connection of their own

Here responses are matched by the request's ID, so a repeated refusal is skipped; but two requests without an ID matched each other's responses. Such a request now opens a connection and closes it.

TestRepeatedRefusalIsNotTheResponseToTheNextRequest failed before for requests without an ID.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -143,7 +143,13 @@
 }
 
 func (e *exchange) run() Result {
-	conn := e.client.pool.take(e.target.Address, e.started)
+	// A response without an ID can't be told from that to an earlier request, so a
+	// request without one uses a connection of its own.
+	mayShare := e.request.ID != ""
+	var conn *connection
+	if mayShare {
+		conn = e.client.pool.take(e.target.Address, e.started)
+	}
 	if conn == nil {
 		opened, err := e.client.pool.open(e.ctx, e.target.Address)
 		if err != nil {
@@ -162,7 +168,7 @@
 		e.client.CloseIdle(e.target)
 	}
 	result.Reused = conn.used
-	if interrupted || idleFor <= 0 {
+	if interrupted || idleFor <= 0 || !mayShare {
 		_ = conn.Close()
 		return result
 	}
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -166,6 +166,81 @@
 	}
 }
 
+// Guards against a success that is made of a response whose upstream stopped anywhere
+// before its end, in the middle of its header in particular.
+func TestResponseThatStopsAnywhereIsBroken(t *testing.T) {
+	for name, c := range map[string]struct{ header, body string }{
+		"length":  {"HTTP/1.1 200 OK\r\nId: 1\r\nServer: s\r\nContent-Length: 4\r\nX: y\r\n\r\n", "body"},
+		"chunked": {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+		"close":   {"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n", ""},
+		"interim": {"HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var stop atomic.Int32
+			whole := c.header + c.body
+			s := startStub(t, func(s *stubServer, conn net.Conn, r *bufio.Reader) {
+				s.readRequest(r)
+				_, _ = io.WriteString(conn, whole[:stop.Load()])
+			})
+			client := NewClient(testCodec{}, testResponseBytes)
+			for n := range whole {
+				stop.Store(int32(n))
+				result := exchangeWith(t, client, s, request("1"))
+				require.Equal(t, Broken, result.Outcome, "stopped after %q", whole[:n])
+				require.Nil(t, result.Response)
+			}
+			stop.Store(int32(len(whole)))
+			result := exchangeWith(t, client, s, request("1"))
+			require.Equal(t, Answered, result.Outcome)
+		})
+	}
+}
+
+// Guards against an earlier refusal, written once more, that is taken for the response to
+// a request that runs.
+func TestRepeatedRefusalIsNotTheResponseToTheNextRequest(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct{ first, second string }{
+		"with IDs":    {"1", "2"},
+		"without IDs": {"", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			idHeader := func(id string) string {
+				if id == "" {
+					return ""
+				}
+				return "Id: " + id + "\r\n"
+			}
+			s := startStub(t, func(s *stubServer, conn net.Conn, r *bufio.Reader) {
+				for n := 0; ; n++ {
+					id, ok := s.readRequest(r)
+					if !ok {
+						return
+					}
+					answer := "HTTP/1.1 200 OK\r\n" + idHeader(id) + "Content-Length: 3\r\n\r\nran"
+					switch {
+					case s.requests.Load() == 1:
+						answer = refusal(idHeader(c.first))
+					case n > 0:
+						answer = refusal(idHeader(c.first)) + answer
+					}
+					if _, err := io.WriteString(conn, answer); err != nil {
+						return
+					}
+				}
+			})
+			client := NewClient(testCodec{}, testResponseBytes)
+			require.Equal(t, Refused, exchangeWith(t, client, s, request(c.first)).Outcome)
+			result := exchangeWith(t, client, s, request(c.second))
+			require.Equal(t, Answered, result.Outcome)
+			require.Equal(t, "ran", string(result.Response.Body))
+		})
+	}
+}
+
 // Guards against rejecting a response that is delimited by the end of its connection,
 // and against accepting one whose connection was reset.
 func TestResponseDelimitedByConnectionClose(t *testing.T) {
