Regions with few hosts use as much of an upstream's limit as others

With a fifth of the limit a host, a region of two hosts used two fifths of it. The hosts that share a limit now use four fifths together, each at most two fifths. With two hosts there is room for one more whose list of hosts differs, with four for two. TestStatedLimitHoldsOverAllHosts now includes fleets with one and two hosts a region; what an upstream must get is bounded by its slots, which a limit of 30 exceeds in the model.

--- a/steering/limit.go
+++ b/steering/limit.go
@@ -11,9 +11,12 @@
 	// maxLimitHosts is the number of hosts that share the limit of one upstream. All
 	// others stop sending, except for trials.
 	maxLimitHosts = 4
-	// limitHostShare is the part of the limit that one of them uses. It leaves room for
-	// two more hosts, whose lists of hosts differ, within the tolerance of 1.5.
-	limitHostShare = 0.2
+	// usedLimit is the part of the limit that they use together. With four hosts it leaves
+	// room for two more, whose lists of hosts differ, within the tolerance of 1.5; with
+	// two, for one.
+	usedLimit = 0.8
+	// maxLimitShare bounds the part that one host uses.
+	maxLimitShare = 0.4
 	// trialShare is the part of the limit that the trials of all other hosts use.
 	trialShare = 0.3
 	// minTrialInterval and maxTrialInterval bound the time between two trials of a host.
@@ -67,12 +70,13 @@
 
 // limitBucket returns the bucket from which a request to an upstream with a limit takes
 // a token, or nil if this host may not send any. Invariant: the limit hosts admit at
-// most maxLimitHosts requests at once and maxLimitHosts * limitHostShare of the limit,
-// the trials of the others trialShare of it.
+// most one request each at once and usedLimit of the limit together, the trials of the
+// others trialShare of it.
 func (t *Table) limitBucket(now machine.Instant, m *member) *tokenBucket {
 	l := &m.limit
 	if t.isLimitHost(m) {
-		l.bucket.refill(now, limitHostShare*l.perSecond)
+		hosts := min(maxLimitHosts, t.rankOf(m).regionHosts)
+		l.bucket.refill(now, min(maxLimitShare, usedLimit/float64(hosts))*l.perSecond)
 		return &l.bucket
 	}
 	if !t.trialDue(now, m) {
--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -45,7 +45,7 @@
 
 // Guards against hosts that do not keep to a limit, or that each send at the whole limit.
 func TestStatedLimitHoldsOverAllHosts(t *testing.T) {
-	for _, hosts := range []int{12, 87, 295} {
+	for _, hosts := range []int{3, 6, 12, 87, 295} {
 		for _, limit := range []float64{1, 4.6, 8.7, 30} {
 			f := newFleetModel(t, hosts)
 			f.demand = 150
@@ -54,7 +54,8 @@
 			limited := f.now
 			f.run(20 * time.Second)
 			f.requireLimitHolds(limit)
-			require.Greater(t, f.sentSince(limited), int(limit*20/3), "the upstream gets a good part of its limit")
+			capacity := 3 / modelServiceTime.Seconds()
+			require.Greater(t, f.sentSince(limited), int(min(limit, capacity)*20/3), "the upstream gets a good part of what it takes")
 		}
 	}
 }
--- a/steering/share.go
+++ b/steering/share.go
@@ -32,6 +32,8 @@
 	// hosts if that region has none. It is unranked in other regions, and as long as
 	// this host is not in its own list: the other hosts do not count it either.
 	inRegion int
+	// regionHosts is the number of hosts among which inRegion is the position.
+	regionHosts int
 	// overall is the position among all hosts of the list.
 	overall int
 }
@@ -54,11 +56,15 @@
 	ownHash := hashPair(string(t.config.Host), string(m.ID))
 	rank := hostRank{}
 	for _, h := range t.hosts {
+		counts := isLocal(h) || !regionHasHosts
+		if counts {
+			rank.regionHosts++
+		}
 		if h.ID == t.config.Host || hashPair(string(h.ID), string(m.ID)) <= ownHash {
 			continue
 		}
 		rank.overall++
-		if isLocal(h) || !regionHasHosts {
+		if counts {
 			rank.inRegion++
 		}
 	}
