Bound the framing of a response apart from its content

Framing and content had one bound in sum. Framing may now exceed the content by 256 KiB, so bodies in small chunks are still read, and an answer in chunks of one byte ends after about 64 KiB.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -172,3 +172,15 @@
 		}
 	})
 }
+
+// Guards against rejecting bodies that are sent in small pieces.
+func TestBodyInSmallChunksIsRead(t *testing.T) {
+	const chunks = 200_000
+	s := startStub(t, func(s *stubServer, c net.Conn, r *bufio.Reader) {
+		s.readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("a\r\n0123456789\r\n", chunks)+"0\r\n\r\n")
+	})
+	result := exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, request("1"))
+	require.Equal(t, Answered, result.Outcome, "%v", result.Err)
+	require.Len(t, result.Response.Body, 10*chunks)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -22,8 +22,8 @@
 	// maxHeaderBytes bounds the headers of a response, those of interim (1xx) responses
 	// before it included.
 	maxHeaderBytes = 32 << 10
-	// maxFramingBytes bounds the chunk headers and the trailer of a response. net/http
-	// itself rejects bodies with much more framing than content.
+	// maxFramingBytes bounds the chunk headers and the trailer of a response, beyond as
+	// many bytes as its content has.
 	maxFramingBytes = 256 << 10
 	// maxInterimResponses bounds the interim responses before the final one.
 	maxInterimResponses = 8
@@ -82,6 +82,29 @@
 	return n, err
 }
 
+// framedBody is the body of a response. It bounds the bytes of its framing, of which a
+// body in chunks of one byte has several for each byte of content.
+type framedBody struct {
+	io.Reader
+	conn *connection
+	// framing and content are the numbers of bytes read of each.
+	framing, content int64
+}
+
+func (b *framedBody) Read(p []byte) (int, error) {
+	before := b.unread()
+	n, err := b.Reader.Read(p)
+	b.content += int64(n)
+	b.framing += before - b.unread() - int64(n)
+	if b.framing > b.content+maxFramingBytes {
+		return n, &TooLargeError{Part: "framing", Bound: b.content + maxFramingBytes}
+	}
+	return n, err
+}
+
+// unread returns the bytes that may still be read from the connection for the body.
+func (b *framedBody) unread() int64 { return b.conn.limit.remaining + int64(b.conn.reader.Buffered()) }
+
 // pastDeadline is a deadline that interrupts reads and writes immediately.
 var pastDeadline = time.Unix(1, 0)
 
@@ -310,14 +333,14 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	conn.limit.start("body", maxBodyBytes+maxFramingBytes)
+	conn.limit.start("body", 2*maxBodyBytes+maxFramingBytes)
 	length := raw.ContentLength
 	if raw.Body == http.NoBody {
 		// A response to HEAD announces the length of a body that does not follow.
 		length = 0
 	}
 	memory := e.client.responses.Open()
-	body, err := bytebudget.ReadAll(raw.Body, length, maxBodyBytes, memory)
+	body, err := bytebudget.ReadAll(&framedBody{Reader: raw.Body, conn: conn}, length, maxBodyBytes, memory)
 	if err != nil {
 		memory.Release()
 		return nil, 0, err
