Suspect a restart only when a process has ended

A host without free descriptors, or an upstream that spoils responses on new connections, would have made the host avoid upstreams for seconds. Suspicious are now: a refused or reset connection, one closed without a byte of a response, and the second unanswered one in a row. The check after a broken connection, which finds out that nothing listens at the address any more, counts too: it was used for the quarantine of requests alone, so an upstream whose reused connections broke could restart unnoticed.

--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -27,6 +27,9 @@
 	if !e.upstream.RefusesConnections(r.choice.Target) {
 		return
 	}
+	if change := e.steering.Crashed(e.now(), r.choice.ID); change.Description != "" {
+		upstreamChanged(e.log.Info(), change).Str("request", r.fields.ID).Msg("upstream changed")
+	}
 	suspects := inFlight.Suspects(time.Now())
 	e.log.Warn().Str("upstream", string(r.choice.ID)).Str("request", r.fields.ID).Int("suspects", len(suspects)).Msg("upstream crashed under requests")
 	e.hostMetrics.count("upstreams.crashed")
--- a/steering/outcome.go
+++ b/steering/outcome.go
@@ -127,7 +127,7 @@
 		return "address belongs to another upstream"
 	case upstream.Unreachable:
 		m.recordOutcome(now, true)
-		t.recordFailure(now, m, r.Unresponsive)
+		t.recordFailure(now, m, r)
 		return "unreachable"
 	case upstream.Broken:
 		m.recordOutcome(now, true)
@@ -135,7 +135,7 @@
 			// The upstream may have closed the connection as idle.
 			return "connection broke"
 		}
-		t.recordFailure(now, m, r.Unresponsive)
+		t.recordFailure(now, m, r)
 		if r.Unresponsive {
 			return "silent"
 		}
@@ -147,18 +147,35 @@
 	return ""
 }
 
-// recordFailure ejects an upstream whose process may have ended. It may restart under
-// the same ID, and this host's copy of its entry be older than that; without a new
-// entry, the restart is excluded only once the old entry would have lapsed. A single
-// failure of an unresponsive machine may be a lost packet.
-func (t *Table) recordFailure(now machine.Instant, m *member, unresponsive bool) {
+// recordFailure ejects an upstream whose process may have ended.
+func (t *Table) recordFailure(now machine.Instant, m *member, r upstream.Result) {
 	m.failures++
 	m.eject(now, backoff(m.failures))
-	if !unresponsive || m.failures > 1 {
-		m.limiter.suspect(now, t.config.EntryLapse+t.warmup[m.Service].SlowStart)
+	// A single failure of an unresponsive machine may be a lost packet.
+	if r.Rejected || r.Unresponsive && m.failures > 1 {
+		t.suspectRestart(now, m)
 	}
 }
 
+// suspectRestart treats an upstream as cold because its process may have ended. It may
+// restart under the same ID, and this host's copy of its entry be older than that;
+// without a new entry, the restart is excluded only once the old entry would have lapsed.
+func (t *Table) suspectRestart(now machine.Instant, m *member) {
+	m.limiter.suspect(now, t.config.EntryLapse+t.warmup[m.Service].SlowStart)
+}
+
+// Crashed records that an upstream's process has ended, and returns the change.
+func (t *Table) Crashed(now machine.Instant, id fleet.Upstream) UpstreamChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil {
+		return UpstreamChange{}
+	}
+	t.recordFailure(now, m, upstream.Result{Rejected: true})
+	return t.change(now, m, "crashed")
+}
+
 // eject keeps requests from an upstream for d.
 func (m *member) eject(now machine.Instant, d time.Duration) {
 	m.ejectedUntil = max(m.ejectedUntil, now.Add(d))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -60,6 +60,12 @@
 	return "more than " + strconv.Itoa(maxInterimResponses) + " interim responses"
 }
 
+// The parts of a response.
+const (
+	partHeader = "header"
+	partBody   = "body"
+)
+
 // limitedReader limits the bytes that may be read for one part of a response.
 type limitedReader struct {
 	source    io.Reader
@@ -73,6 +79,9 @@
 	l.part, l.bound, l.remaining = part, bound, bound
 }
 
+// atStart reports whether nothing has been read since the header began.
+func (l *limitedReader) atStart() bool { return l.part == partHeader && l.remaining == l.bound }
+
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
 		return 0, &TooLargeError{Part: l.part, Bound: l.bound}
@@ -179,7 +188,7 @@
 			if errors.Is(e.ctx.Err(), context.Canceled) {
 				return Result{Outcome: Cancelled, Err: err}
 			}
-			return Result{Outcome: Unreachable, Err: err, Unresponsive: timedOutConnecting(err)}
+			return Result{Outcome: Unreachable, Err: err, Unresponsive: timedOutConnecting(err), Rejected: rejected(err)}
 		}
 		conn = opened
 	}
@@ -204,6 +213,11 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
 
+// rejected reports whether a machine ended a connection on its own.
+func rejected(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // runOn runs the exchange on a connection and returns how long the connection may
 // then stay idle; 0 means that it can't be reused.
 func (e *exchange) runOn(conn *connection) (Result, time.Duration) {
@@ -213,7 +227,7 @@
 	if body == nil {
 		if n, err := conn.Write(head); err != nil {
 			if n == 0 && e.ctx.Err() == nil {
-				return Result{Outcome: Unreachable, Err: err}, 0
+				return Result{Outcome: Unreachable, Err: err, Rejected: rejected(err)}, 0
 			}
 			// The upstream may have answered and closed without reading the whole request.
 			written <- err
@@ -244,7 +258,9 @@
 		}
 	}
 	if err != nil {
-		return e.classifyError(err), 0
+		result := e.classifyError(err)
+		result.Rejected = rejected(err) || conn.limit.atStart() && errors.Is(err, io.ErrUnexpectedEOF)
+		return result, 0
 	}
 	if !sentWhole || conn.reader.Buffered() > 0 {
 		idleFor = 0
@@ -328,12 +344,12 @@
 
 // readOne reads the next final response, skipping interim (1xx) ones.
 func (e *exchange) readOne(conn *connection) (*Response, time.Duration, error) {
-	conn.limit.start("header", maxHeaderBytes)
+	conn.limit.start(partHeader, maxHeaderBytes)
 	raw, err := e.readHeader(conn.reader)
 	if err != nil {
 		return nil, 0, err
 	}
-	conn.limit.start("body", 2*maxBodyBytes+maxFramingBytes)
+	conn.limit.start(partBody, 2*maxBodyBytes+maxFramingBytes)
 	length := raw.ContentLength
 	if raw.Body == http.NoBody {
 		// A response to HEAD announces the length of a body that does not follow.
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -396,4 +396,32 @@
 	r = exchangeWith(t, NewClient(testCodec{}, testResponseBytes), closed, request("1"))
 	require.Equal(t, Unreachable, r.Outcome)
 	require.False(t, r.Unresponsive)
+	require.True(t, r.Rejected)
+}
+
+// Guards against confusing the end of a process with a response that it spoiled.
+func TestConnectionThatEndsWithoutAResponseIsRejected(t *testing.T) {
+	for name, c := range map[string]struct {
+		text            string
+		reset, rejected bool
+	}{
+		"closed":                 {"", false, true},
+		"reset":                  {"", true, true},
+		"closed in the response": {"HTTP/1.1 200 OK\r\nId", false, false},
+		"something else":         {"\x00\x01\r\n\r\n", false, false},
+		"closed in the body":     {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nx", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startStub(t, func(s *stubServer, conn net.Conn, r *bufio.Reader) {
+				s.readRequest(r)
+				_, _ = io.WriteString(conn, c.text)
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			result := exchangeWith(t, NewClient(testCodec{}, testResponseBytes), s, request("1"))
+			require.Equal(t, Broken, result.Outcome)
+			require.Equal(t, c.rejected, result.Rejected, "%v", result.Err)
+		})
+	}
 }
--- a/upstream/result.go
+++ b/upstream/result.go
@@ -129,6 +129,9 @@
 	// Unresponsive is true if the upstream's machine did not acknowledge a new
 	// connection, sent data or the kernel's keep-alive probes.
 	Unresponsive bool
+	// Rejected is true if the upstream's machine refused or reset the connection, or
+	// closed it without a byte of a response, as when the process has ended.
+	Rejected bool
 	// Reused is true if the connection had carried an earlier request.
 	Reused bool
 	// Took is the duration of the attempt.
