What an upstream stated outlives its entry

Entries lapse while the store is down and return afterwards, and some upstreams that leave lose their entry first and serve on. A host forgot with the entry that the upstream is leaving, its limit and the pause that it had asked for, and sent to it at the full rate once the entry was back. Statements are kept for 5 minutes and hold again for an entry of the same start; a new start begins without them.

TestStatementsOutliveTheEntry failed before.

--- a/steering/table.go
+++ b/steering/table.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +20,9 @@
 	// missingGrace is how long an upstream is kept whose entry is missing after a store
 	// outage: live upstreams write their entries within 2 s of the store's return.
 	missingGrace = 2200 * time.Millisecond
+	// departedRetention is how long the statements of an upstream are kept whose entry
+	// was removed. It may serve for long after that, and write its entry again.
+	departedRetention = 5 * time.Minute
 	// otherHostsHalfLife is the half-life of the load that other hosts put on an
 	// upstream, as last reported by the upstream: about the duration of a request.
 	otherHostsHalfLife = 500 * time.Millisecond
@@ -97,13 +101,31 @@
 	return &member{Upstream: item, hash: uint64(advisory.KeyOf(item.ID)), rankList: -1}
 }
 
+// departedMember is an upstream whose entry was removed.
+type departedMember struct {
+	*member
+	at machine.Instant
+}
+
+// resume takes over the statements of an upstream whose entry had been removed, unless it
+// has started again since. Without a known start, it has to be taken for a new one.
+func (m *member) resume(departed departedMember) {
+	if departed.member == nil || departed.StartedMillis != m.StartedMillis || m.StartedMillis == 0 {
+		return
+	}
+	m.leaving, m.limit, m.ejectedUntil = departed.leaving, departed.limit, departed.ejectedUntil
+}
+
 // Table chooses upstreams. It is safe for concurrent use.
 type Table struct {
 	config Config
 
-	mu        sync.Mutex
-	members   map[fleet.Upstream]*member
-	services  map[fleet.Pool]*pool
+	mu       sync.Mutex
+	members  map[fleet.Upstream]*member
+	services map[fleet.Pool]*pool
+	// departed holds upstreams whose entries were removed and that had made a statement
+	// which still binds this host.
+	departed  map[fleet.Upstream]departedMember
 	evacuated map[fleet.FailureDomain]bool
 	hosts     []catalog.Host
 	// hostList counts the calls of SetHosts.
@@ -161,6 +183,7 @@
 		config:    c,
 		members:   make(map[fleet.Upstream]*member),
 		services:  make(map[fleet.Pool]*pool),
+		departed:  make(map[fleet.Upstream]departedMember),
 		evacuated: make(map[fleet.FailureDomain]bool),
 	}
 }
@@ -205,6 +228,8 @@
 	switch {
 	case m == nil:
 		m = newMember(item)
+		m.resume(t.departed[item.ID])
+		delete(t.departed, item.ID)
 		t.members[item.ID] = m
 		description = "added"
 		if t.listed {
@@ -251,6 +276,9 @@
 		return removed, changed
 	}
 	delete(t.members, id)
+	if m.leaving || m.limit.known || now < m.ejectedUntil {
+		t.departed[id] = departedMember{member: m, at: now}
+	}
 	return append(removed, upstream.Target{ID: id, Address: m.Address}), append(changed, t.change(now, m, "removed"))
 }
 
@@ -267,6 +295,7 @@
 	if len(removed) > 0 {
 		t.rebuildPools()
 	}
+	maps.DeleteFunc(t.departed, func(_ fleet.Upstream, d departedMember) bool { return now.Sub(d.at) > departedRetention })
 	for _, p := range t.services {
 		t.replan(now, p)
 	}
--- a/steering/table_test.go
+++ b/steering/table_test.go
@@ -253,6 +253,32 @@
 	require.Equal(t, Chosen, refusal)
 }
 
+// Guards against forgetting what an upstream stated when its entry lapses and returns, as
+// after an outage of the store.
+func TestStatementsOutliveTheEntry(t *testing.T) {
+	tb := newTable(0, upstreamsIn(1))
+	tb.Done(2*second, "u-1", upstream.Result{Outcome: upstream.Answered, Response: &upstream.Response{Status: 200, Fields: upstream.Fields{
+		Leaving: true, Limit: upstream.RateLimit{Known: true, PerSecond: 3},
+	}}})
+	tb.Apply(3*second, completeUpdate(entry(2, "a")))
+	tb.Apply(9*second, completeUpdate(entry(1, "a"), entry(2, "a")))
+	require.False(t, tb.usable(tb.members["u-1"]))
+	require.True(t, tb.members["u-1"].limit.known)
+
+	tb.Apply(10*second, completeUpdate(entry(2, "a")))
+	restarted := entry(1, "a")
+	restarted.StartedMillis = 2
+	tb.Apply(11*second, completeUpdate(restarted, entry(2, "a")))
+	require.True(t, tb.usable(tb.members["u-1"]), "it has started again")
+	require.False(t, tb.members["u-1"].limit.known)
+
+	tb.Done(12*second, "u-1", upstream.Result{Outcome: upstream.Answered, Response: &upstream.Response{Status: 200, Fields: upstream.Fields{Leaving: true}}})
+	tb.Apply(13*second, completeUpdate(entry(2, "a")))
+	require.Len(t, tb.departed, 1)
+	tb.Expire(14*second + machine.Instant(departedRetention))
+	require.Empty(t, tb.departed)
+}
+
 // Guards against an unreachable upstream that keeps getting the requests for its objects.
 func TestUnreachableUpstreamIsSkippedThenRetried(t *testing.T) {
 	tb := newTable(0, upstreamsIn(3))
