--- a/advisory/machine_test.go
+++ b/advisory/machine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/peer"
 )
 
 func viewOf(hosts ...fleet.HostID) machine.ViewChanged {
@@ -50,6 +51,21 @@
 	require.Equal(t, 10*time.Minute, out[0].(Learned).Advisories[0].ColdFor())
 }
 
+// Guards against a message that is too large for a datagram.
+func TestFullMessageFitsIntoADatagram(t *testing.T) {
+	message := Advisories{}
+	for i := range maxPerMessage {
+		message.List = append(message.List, Advisory{Upstream: Key(^uint64(i)), ColdMillis: 1<<32 - 1, LimitEnded: true})
+	}
+	codec, err := peer.NewCodec(Messages())
+	require.NoError(t, err)
+	wire, err := codec.Encode(message)
+	require.NoError(t, err)
+	const envelope = 120 // sender, nonce and tag of peer.Datagrams
+	require.LessOrEqual(t, len(wire)+envelope, peer.MaxDatagramSize)
+	t.Logf("%d bytes for %d advisories", len(wire), maxPerMessage)
+}
+
 // Guards against memory that grows without bound while no tick comes.
 func TestPendingAdvisoriesAreBounded(t *testing.T) {
 	m := New("h-1")
