--- a/edge/follow.go
+++ b/edge/follow.go
@@ -260,6 +260,9 @@
 	if c.ColdFor > 0 {
 		line = line.Dur("cold_for", c.ColdFor).Bool("warmup_host", c.WarmupHost)
 	}
+	if c.PausedFor > 0 {
+		line = line.Dur("paused_for", c.PausedFor)
+	}
 	if c.Limited {
 		line = line.Float64("limit", c.Limit).Bool("limit_host", c.LimitHost)
 	}
--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/machine"
+	"github.com/catkinspring/catkinspring/upstream"
 )
 
 const (
@@ -113,3 +114,27 @@
 	f.run(10 * time.Second)
 	f.requireLimitHolds(f.limit)
 }
+
+// Guards against a pause that is shortened by a later failure, and against one whose
+// beginning or end is not reported.
+func TestPauseIsKeptAndReported(t *testing.T) {
+	tb := newTable(0, upstreamsIn(1))
+	answer := func(at machine.Instant, pause time.Duration) UpstreamChange {
+		status := 200
+		if pause > 0 {
+			status = 503
+		}
+		return tb.Done(at, "u-1", upstream.Result{Outcome: upstream.Answered, Response: &upstream.Response{Status: status, Fields: upstream.Fields{Pause: pause}}})
+	}
+	change := answer(2*second, 3*time.Second)
+	require.Equal(t, "asks for a pause", change.Description)
+	require.Equal(t, 3*time.Second, change.PausedFor)
+	require.Empty(t, answer(3*second, 0).Description, "the answer to an earlier request")
+	tb.Done(3*second, "u-1", upstream.Result{Outcome: upstream.Misdirected, Response: &upstream.Response{Status: 421}})
+	_, refusal := tb.Pick(5*second-1, requestFor("x"))
+	require.Equal(t, Full, refusal)
+	_, refusal = tb.Pick(5*second, requestFor("x"))
+	require.Equal(t, Chosen, refusal)
+	require.Equal(t, "answers after its pause", answer(6*second, 0).Description)
+	require.Empty(t, answer(6*second, 0).Description)
+}
--- a/steering/outcome.go
+++ b/steering/outcome.go
@@ -24,6 +24,8 @@
 	Limited   bool
 	Limit     float64
 	LimitHost bool
+	// PausedFor is the pause for which the upstream asks in this change; 0 if it does not.
+	PausedFor time.Duration
 	// StatedColdFor is the remaining warm-up time according to the upstream itself, of
 	// which the other hosts are notified; 0 if this change contains no such statement.
 	StatedColdFor time.Duration
@@ -93,9 +95,14 @@
 		}
 		m.limiter.start(now, r.Response.ColdFor)
 	}
-	if r.Response.Pause > 0 {
+	switch {
+	case r.Response.Pause > 0:
 		m.eject(now, r.Response.Pause)
+		m.paused, c.PausedFor = true, r.Response.Pause
 		c.describe("asks for a pause")
+	case m.paused && now >= m.ejectedUntil:
+		m.paused = false
+		c.describe("answers after its pause")
 	}
 	if r.Response.Leaving && !m.leaving {
 		m.leaving = true
--- a/steering/table.go
+++ b/steering/table.go
@@ -78,6 +78,8 @@
 	// ejectedUntil is until when the upstream gets no requests, after a failure or
 	// because it asked for a pause.
 	ejectedUntil machine.Instant
+	// paused is true from a request for a pause until the first response after it.
+	paused bool
 	// failureRate is the moving average (EWMA) of failed attempts at failureRateAt.
 	failureRate   float64
 	failureRateAt machine.Instant
@@ -113,7 +115,7 @@
 	if departed.member == nil || departed.StartedMillis != m.StartedMillis || m.StartedMillis == 0 {
 		return
 	}
-	m.leaving, m.limit, m.ejectedUntil = departed.leaving, departed.limit, departed.ejectedUntil
+	m.leaving, m.limit, m.ejectedUntil, m.paused = departed.leaving, departed.limit, departed.ejectedUntil, departed.paused
 }
 
 // Table chooses upstreams. It is safe for concurrent use.
