--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -81,7 +81,7 @@
 }
 
 // Guards against a limit that stays in force after the upstream has stopped stating it,
-// also when no message tells the other hosts.
+// also when no message reaches the other hosts.
 func TestStatedLimitEndsWithTheStatements(t *testing.T) {
 	for _, c := range []struct {
 		hosts      int
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -175,8 +175,8 @@
 }
 
 func (e *exchange) run() Result {
-	// A response without an ID can't be told from that to an earlier request, so a
-	// request without one uses a connection of its own.
+	// A response without an ID may belong to an earlier request, so a request without
+	// one uses a connection of its own.
 	mayShare := e.request.ID != ""
 	var conn *connection
 	if mayShare {
