A single response without the limit does not end it

A limit ended, for all hosts, with the first response that lacks it. An error response without the header would have lifted the limit for a moment at every host, each of which counts as informed. Two in a row end it now; the first one allows a trial at once.

--- a/steering/limit.go
+++ b/steering/limit.go
@@ -19,6 +19,9 @@
 	maxLimitShare = 0.4
 	// trialShare is the part of the limit that the trials of all other hosts use.
 	trialShare = 0.3
+	// limitEndResponses is the number of responses in a row without a limit that end it. A
+	// single one may be an error response that lacks the header.
+	limitEndResponses = 2
 	// minTrialInterval and maxTrialInterval bound the time between two trials of a host.
 	minTrialInterval = 2 * time.Second
 	maxTrialInterval = 5 * time.Minute
@@ -31,19 +34,26 @@
 	perSecond float64
 	// statedAt is when the last response with the limit arrived.
 	statedAt machine.Instant
-	bucket   tokenBucket
+	// absent counts the responses without it since then.
+	absent int
+	bucket tokenBucket
 	// trialAt is when a host that has no share of the limit may send a request, to find
 	// out whether the limit still exists. The trials of all hosts are spread evenly.
 	trialAt machine.Instant
 }
 
 // recordLimit applies the limit of a response, or its absence, and describes the change
-// and whether the limit has ended. A response to a request that was sent before the last
-// response with a limit does not end it.
+// and whether the limit has ended. Responses to requests that were sent before the last
+// response with a limit do not end it.
 func (t *Table) recordLimit(now machine.Instant, m *member, r upstream.Result) (change string, ended bool) {
 	stated, l := r.Response.Limit, &m.limit
 	switch {
 	case !stated.Known && l.known && now.Add(-r.Took) > l.statedAt:
+		if l.absent++; l.absent < limitEndResponses {
+			// The next trial finds out.
+			l.trialAt = now
+			return "", false
+		}
 		*l = statedLimit{}
 		return "states no limit any more", true
 	case !stated.Known:
@@ -54,7 +64,7 @@
 		l.trialAt = now.Add(time.Duration(float64(interval) * float64(t.rankOf(m).overall+1) / float64(max(1, len(t.hosts)))))
 		return "states a limit", false
 	}
-	l.statedAt = now
+	l.statedAt, l.absent = now, 0
 	if l.perSecond == stated.PerSecond {
 		return "", false
 	}
--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against an end of the limit for all hosts because of one response without it.
+func TestSingleResponseWithoutTheLimitDoesNotEndIt(t *testing.T) {
+	tb := newTable(0, upstreamsIn(1))
+	answer := func(at machine.Instant, limit upstream.RateLimit) UpstreamChange {
+		return tb.Done(at, "u-1", upstream.Result{Outcome: upstream.Answered, Response: &upstream.Response{Status: 200, Fields: upstream.Fields{Limit: limit}}})
+	}
+	limit := upstream.RateLimit{Known: true, PerSecond: 4}
+	require.Equal(t, "states a limit", answer(2*second, limit).Description)
+	require.False(t, answer(3*second, upstream.RateLimit{}).LimitEnded)
+	require.Empty(t, answer(4*second, limit).Description)
+	require.False(t, answer(5*second, upstream.RateLimit{}).LimitEnded)
+	change := answer(6*second, upstream.RateLimit{})
+	require.True(t, change.LimitEnded)
+	require.Equal(t, "states no limit any more", change.Description)
+}
+
 // Guards against a limit that is lowered later.
 func TestLoweredLimitHolds(t *testing.T) {
 	f := newFleetModel(t, 87)
