Tell callers when paused upstreams may get requests again

If every upstream that may serve a request is ejected, Retry-After is the time until the first of them is available.

--- a/edge/request.go
+++ b/edge/request.go
@@ -251,7 +251,7 @@
 		return r.failure()
 	}
 	r.refund()
-	return ingress.Refuse(http.StatusServiceUnavailable, capacityRetryAfter), refusal.String()
+	return ingress.Refuse(http.StatusServiceUnavailable, max(capacityRetryAfter, choice.AvailableIn)), refusal.String()
 }
 
 // affinityKey returns the key whose requests prefer the same upstream: the object
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -36,6 +36,9 @@
 	// Rank is the index of the upstream in the order of the object; 0 is the first.
 	Rank int
 	Cold bool
+	// AvailableIn is set if Pick refuses with Full because every upstream is ejected: the
+	// time until the first of them may get requests again.
+	AvailableIn time.Duration
 }
 
 // Refusal is the reason why no upstream was chosen.
@@ -88,7 +91,7 @@
 }
 
 // Pick chooses an upstream and adds the request to its load. If it refuses with Full,
-// only the region of the choice is set.
+// only Region and AvailableIn of the choice are set.
 func (t *Table) Pick(now machine.Instant, r Request) (Choice, Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,7 +108,7 @@
 	}
 	c := t.choose(now, &r, region.members)
 	if c.member == nil {
-		return Choice{Region: region.name}, Full
+		return Choice{Region: region.name, AvailableIn: availableIn(now, &r, region.members)}, Full
 	}
 	c.inFlight++
 	p.picks++
@@ -115,6 +118,21 @@
 	}, Chosen
 }
 
+// availableIn returns the time until the first of the upstreams may get requests again,
+// or 0 if one may already.
+func availableIn(now machine.Instant, r *Request, members []*member) time.Duration {
+	first := machine.Instant(math.MaxInt64)
+	for _, m := range members {
+		if !slices.Contains(r.Exclude, m.ID) {
+			first = min(first, m.ejectedUntil)
+		}
+	}
+	if first == math.MaxInt64 {
+		return 0
+	}
+	return max(0, first.Sub(now))
+}
+
 // region returns the region for an object: the one at the position of its hash in
 // the plan, restricted to the regions that are allowed and have usable upstreams. If
 // the plan has none of these, it returns the local region if it is one of them, and
