Advisories reach large fleets through relays

A fresh watcher sent each batch of advisories to every host: 300 datagrams a second while upstreams start, up to 270 KB/s, where a daemon has 19 KB/s for control. Beyond 24 peers a message now goes to one relay in each slice of the fleet, which passes it on to the hosts of its slice; about twice the square root of the fleet is the most that a host sends.

TestRelaysReachALargeFleet: 26 to 1,000 hosts each get the message once.

--- a/advisory/doc.go
+++ b/advisory/doc.go
@@ -5,4 +5,6 @@
 // A host publishes only statements of upstreams, never its own conclusions: a host with
 // a broken link would otherwise make all others avoid upstreams that only it can't
 // reach.
+//
+// In a small fleet a message goes to all hosts directly, in a large one through relays.
 package advisory
--- a/advisory/machine.go
+++ b/advisory/machine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,12 @@
 	maxPerMessage = 48
 	// maxPending bounds the advisories that wait for the next tick.
 	maxPending = 1024
+	// maxDirectPeers is the number of peers up to which a host sends to all of them. In
+	// larger fleets it sends to one relay for each slice of the fleet, so that no host
+	// sends more than about twice the square root of their number.
+	maxDirectPeers = 24
+	// maxSlices bounds the slices that are accepted from a peer.
+	maxSlices = 1024
 	// maxColdFor bounds the warm-up time that is accepted from a peer.
 	maxColdFor = 10 * time.Minute
 )
@@ -54,6 +61,9 @@
 type Advisories struct {
 	_    struct{} `cbor:",toarray"`
 	List []Advisory
+	// Slices is the number of slices into which the fleet is divided, and Slice the one
+	// to whose hosts the receiver relays the message; Slices is 0 if it does not.
+	Slices, Slice uint16
 }
 
 // MessageNumber returns 800.
@@ -82,6 +92,8 @@
 	self    fleet.HostID
 	peers   []fleet.HostID
 	pending map[Key]Advisory
+	// broadcasts counts the messages to the fleet; it rotates the relays.
+	broadcasts int
 }
 
 var _ machine.Machine = (*Machine)(nil)
@@ -102,7 +114,7 @@
 		}
 	case machine.Received:
 		if message, ok := in.Message.(Advisories); ok && len(message.List) > 0 {
-			return []machine.Output{Learned{From: in.From.Host, Advisories: message.List[:min(len(message.List), maxPerMessage)]}}
+			return m.receive(in.From.Host, message)
 		}
 	case machine.ViewChanged:
 		m.peers = m.peers[:0]
@@ -117,6 +129,21 @@
 	return nil
 }
 
+// receive passes a message on to this host, and to its slice if it is a relay.
+func (m *Machine) receive(from fleet.HostID, message Advisories) []machine.Output {
+	list := message.List[:min(len(message.List), maxPerMessage)]
+	out := []machine.Output{Learned{From: from, Advisories: list}}
+	if message.Slices == 0 || message.Slices > maxSlices {
+		return out
+	}
+	for _, to := range m.peers {
+		if to != from && sliceOf(to, message.Slices) == message.Slice {
+			out = append(out, machine.Send{To: to, Message: Advisories{List: list}})
+		}
+	}
+	return out
+}
+
 // flush sends the pending advisories to all peers.
 func (m *Machine) flush() []machine.Output {
 	if len(m.pending) == 0 {
@@ -126,9 +153,40 @@
 	clear(m.pending)
 	var out []machine.Output
 	for batch := range slices.Chunk(list, maxPerMessage) {
+		out = append(out, m.broadcast(batch)...)
+	}
+	return out
+}
+
+// broadcast sends a message to all peers, or to a relay in each slice of a large fleet.
+func (m *Machine) broadcast(list []Advisory) []machine.Output {
+	var out []machine.Output
+	if len(m.peers) <= maxDirectPeers {
 		for _, to := range m.peers {
-			out = append(out, machine.Send{To: to, Message: Advisories{List: batch}})
+			out = append(out, machine.Send{To: to, Message: Advisories{List: list}})
+		}
+		return out
+	}
+	count := uint16(min(maxSlices, math.Ceil(math.Sqrt(float64(len(m.peers))))))
+	members := make([][]fleet.HostID, count)
+	for _, p := range m.peers {
+		slice := sliceOf(p, count)
+		members[slice] = append(members[slice], p)
+	}
+	m.broadcasts++
+	for slice, candidates := range members {
+		if len(candidates) == 0 {
+			continue
 		}
+		// Hosts begin with different relays, and each uses another one the next time.
+		first := xxhash.Sum64String(string(m.self)) + uint64(m.broadcasts)
+		relay := candidates[first%uint64(len(candidates))]
+		out = append(out, machine.Send{To: relay, Message: Advisories{List: list, Slices: count, Slice: uint16(slice)}})
 	}
 	return out
 }
+
+// sliceOf returns the slice of a host.
+func sliceOf(host fleet.HostID, count uint16) uint16 {
+	return uint16(xxhash.Sum64String(string(host)) % uint64(count))
+}
--- a/advisory/machine_test.go
+++ b/advisory/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -41,6 +42,42 @@
 	require.Empty(t, m.Step(machine.Now{}, machine.Tick{}))
 }
 
+// Guards against hosts of a large fleet that get no message, and against one that sends to
+// all of them.
+func TestRelaysReachALargeFleet(t *testing.T) {
+	for _, n := range []int{maxDirectPeers + 2, 87, 300, 1000} {
+		var ids []fleet.HostID
+		for i := range n {
+			ids = append(ids, fleet.HostID(fmt.Sprint("h-", i)))
+		}
+		machines := map[fleet.HostID]*Machine{}
+		for _, id := range ids {
+			machines[id] = New(id)
+			machines[id].Step(machine.Now{}, viewOf(ids...))
+		}
+		learned, sent := map[fleet.HostID]int{}, map[fleet.HostID]int{}
+		var deliver func(from fleet.HostID, out []machine.Output)
+		deliver = func(from fleet.HostID, out []machine.Output) {
+			for _, o := range out {
+				if send, ok := o.(machine.Send); ok {
+					sent[from]++
+					next := machines[send.To].Step(machine.Now{}, machine.Received{From: fleet.Member{Host: from}, Message: send.Message})
+					learned[send.To]++
+					deliver(send.To, next)
+				}
+			}
+		}
+		machines["h-0"].Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: 7, ColdMillis: 1}}})
+		deliver("h-0", machines["h-0"].Step(machine.Now{}, machine.Tick{}))
+		for _, id := range ids[1:] {
+			require.Equal(t, 1, learned[id], "%s of %d", id, n)
+		}
+		for id, datagrams := range sent {
+			require.LessOrEqual(t, float64(datagrams), 2*math.Sqrt(float64(n))+2, "%s of %d", id, n)
+		}
+	}
+}
+
 // Guards against a faulty peer that makes an upstream cold for ever.
 func TestWarmupTimeOfPeersIsBounded(t *testing.T) {
 	out := New("h-1").Step(machine.Now{}, machine.Received{
