--- a/steering/limit.go
+++ b/steering/limit.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"time"
 
 	"github.com/catkinspring/catkinspring/machine"
@@ -22,6 +23,9 @@
 	// limitEndResponses is the number of responses in a row without a limit that end it. A
 	// single one may be an error response that lacks the header.
 	limitEndResponses = 2
+	// minReportedChange is the relative change of a limit from which on it is reported; an
+	// upstream may state another value in each response.
+	minReportedChange = 0.1
 	// minTrialInterval and maxTrialInterval bound the time between two trials of a host.
 	minTrialInterval = 2 * time.Second
 	maxTrialInterval = 5 * time.Minute
@@ -32,6 +36,8 @@
 type statedLimit struct {
 	known     bool
 	perSecond float64
+	// reported is the limit in the last log line about it.
+	reported float64
 	// statedAt is when the last response with the limit arrived.
 	statedAt machine.Instant
 	// absent counts the responses without it since then.
@@ -59,16 +65,16 @@
 	case !stated.Known:
 		return "", false
 	case !l.known:
-		*l = statedLimit{known: true, perSecond: stated.PerSecond, statedAt: now, bucket: tokenBucket{refilledAt: now}}
+		*l = statedLimit{known: true, perSecond: stated.PerSecond, reported: stated.PerSecond, statedAt: now, bucket: tokenBucket{refilledAt: now}}
 		interval := t.trialInterval(m)
 		l.trialAt = now.Add(time.Duration(float64(interval) * float64(t.rankOf(m).overall+1) / float64(max(1, len(t.hosts)))))
 		return "states a limit", false
 	}
-	l.statedAt, l.absent = now, 0
-	if l.perSecond == stated.PerSecond {
+	l.statedAt, l.absent, l.perSecond = now, 0, stated.PerSecond
+	if math.Abs(l.perSecond-l.reported) <= minReportedChange*l.reported {
 		return "", false
 	}
-	l.perSecond = stated.PerSecond
+	l.reported = l.perSecond
 	return "changed its limit", false
 }
 
--- a/steering/limit_test.go
+++ b/steering/limit_test.go
@@ -110,8 +110,10 @@
 	}
 	limit := upstream.RateLimit{Known: true, PerSecond: 4}
 	require.Equal(t, "states a limit", answer(2*second, limit).Description)
+	require.Equal(t, "changed its limit", answer(2*second, upstream.RateLimit{Known: true, PerSecond: 3}).Description)
+	require.Empty(t, answer(2*second, upstream.RateLimit{Known: true, PerSecond: 3.1}).Description, "each response may have another value")
 	require.False(t, answer(3*second, upstream.RateLimit{}).LimitEnded)
-	require.Empty(t, answer(4*second, limit).Description)
+	require.Equal(t, "changed its limit", answer(4*second, limit).Description)
 	require.False(t, answer(5*second, upstream.RateLimit{}).LimitEnded)
 	change := answer(6*second, upstream.RateLimit{})
 	require.True(t, change.LimitEnded)
