--- a/steering/failback_test.go
+++ b/steering/failback_test.go
@@ -108,18 +108,29 @@
 	for _, h := range f.hosts {
 		view.Members = append(view.Members, fleet.ViewMember{Member: fleet.Member{Host: h.ID}, Reachable: true})
 	}
-	publisher := advisory.New(f.hosts[0].ID)
-	publisher.Step(machine.Now{}, machine.ViewChanged{View: view})
+	machines := make([]*advisory.Machine, len(f.hosts))
+	for i, h := range f.hosts {
+		machines[i] = advisory.New(h.ID)
+		machines[i].Step(machine.Now{}, machine.ViewChanged{View: view})
+	}
+	var execute func(from int, outputs []machine.Output)
+	execute = func(from int, outputs []machine.Output) {
+		for _, out := range outputs {
+			switch out := out.(type) {
+			case advisory.Learned:
+				f.tables[from].Advise(f.now, out.Advisories)
+			case machine.Send:
+				to := slices.IndexFunc(f.hosts, func(h catalog.Host) bool { return h.ID == out.To })
+				execute(to, machines[to].Step(machine.Now{}, machine.Received{From: fleet.Member{Host: f.hosts[from].ID}, Message: out.Message}))
+			}
+		}
+	}
 	_, changed := f.tables[0].Apply(f.now, catalog.Update[catalog.Upstream]{Changes: []catalog.Change[catalog.Upstream]{{Name: "u-1", Item: f.entries[0]}}})
 	require.Len(t, changed, 1)
-	publisher.Step(machine.Now{}, advisory.Publish{Advisories: []advisory.Advisory{
+	machines[0].Step(machine.Now{}, advisory.Publish{Advisories: []advisory.Advisory{
 		{Upstream: advisory.KeyOf("u-1"), ColdMillis: uint32(changed[0].StatedColdFor.Milliseconds())},
 	}})
-	for _, out := range publisher.Step(machine.Now{}, machine.Tick{}) {
-		send := out.(machine.Send)
-		to := slices.IndexFunc(f.hosts, func(h catalog.Host) bool { return h.ID == send.To })
-		f.tables[to].Advise(f.now, send.Message.(advisory.Advisories).List)
-	}
+	execute(0, machines[0].Step(machine.Now{}, machine.Tick{}))
 	f.cold = true
 	f.run(modelSlowStart)
 	f.requireNoFlood()
