Merge advisories about one upstream that wait for the same tick

The end of a limit replaced a statement that the upstream is cold, if both came within 50 ms. TestAdvisoriesAreSentTogetherToAllReachableHosts covers it.

--- a/advisory/machine.go
+++ b/advisory/machine.go
@@ -69,8 +69,8 @@
 // MessageNumber returns 800.
 func (Advisories) MessageNumber() uint16 { return messageNumber }
 
-// Publish requests that the other hosts are notified. A later advisory about an upstream
-// replaces one that is not sent yet.
+// Publish requests that the other hosts are notified. An advisory is merged with one
+// about the same upstream that is not sent yet.
 type Publish struct {
 	Advisories []Advisory
 }
@@ -108,9 +108,12 @@
 	switch in := in.(type) {
 	case Publish:
 		for _, a := range in.Advisories {
-			if _, replaces := m.pending[a.Upstream]; replaces || len(m.pending) < maxPending {
-				m.pending[a.Upstream] = a
+			pending, merges := m.pending[a.Upstream]
+			if !merges && len(m.pending) >= maxPending {
+				continue
 			}
+			a.ColdMillis, a.LimitEnded = max(a.ColdMillis, pending.ColdMillis), a.LimitEnded || pending.LimitEnded
+			m.pending[a.Upstream] = a
 		}
 	case machine.Received:
 		if message, ok := in.Message.(Advisories); ok && len(message.List) > 0 {
--- a/advisory/machine_test.go
+++ b/advisory/machine_test.go
@@ -31,13 +31,14 @@
 		m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: KeyOf(fleet.Upstream(fmt.Sprint("u-", i))), ColdMillis: 1}}})
 	}
 	m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: KeyOf("u-0"), ColdMillis: 3000}}})
+	m.Step(machine.Now{}, Publish{Advisories: []Advisory{{Upstream: KeyOf("u-0"), LimitEnded: true}}})
 	out := m.Step(machine.Now{}, machine.Tick{})
 	require.Len(t, out, 2)
 	for i, to := range []fleet.HostID{"h-2", "h-3"} {
 		send := out[i].(machine.Send)
 		require.Equal(t, to, send.To)
 		require.Len(t, send.Message.(Advisories).List, maxPerMessage)
-		require.Contains(t, send.Message.(Advisories).List, Advisory{Upstream: KeyOf("u-0"), ColdMillis: 3000}, "the latest statement counts")
+		require.Contains(t, send.Message.(Advisories).List, Advisory{Upstream: KeyOf("u-0"), ColdMillis: 3000, LimitEnded: true}, "statements are merged")
 	}
 	require.Empty(t, m.Step(machine.Now{}, machine.Tick{}))
 }
