--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -380,13 +380,17 @@
 		dials := 0
 		b.pool.dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			c, err := dialTCP(ctx, address)
+			if err != nil {
+				t.Logf("dialling: %v", err)
+				return nil, err
+			}
 			if dials++; dials > 1 {
-				return c, err
+				return c, nil
 			}
 			return scriptedConn{Conn: c, read: c.Read, write: func(p []byte) (int, error) {
 				_ = c.Close()
 				return written, syscall.EPIPE
-			}}, err
+			}}, nil
 		}
 		response, err := b.run(newRequest("a", atMostOnce, 5*time.Second))
 		checkOutcome(t, "a", response, err, atMostOnce, u)
@@ -407,11 +411,14 @@
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	b.pool.dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		c, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
 		return scriptedConn{Conn: c, write: c.Write, read: func(p []byte) (int, error) {
 			n, err := c.Read(p)
 			cancel()
 			return n, err
-		}}, err
+		}}, nil
 	}
 	require.NoError(t, b.Dispatch(ctx, r, &fasthttp.Response{}))
 	require.Nil(t, b.pool.pop(u.target().Address))
