--- /dev/null
+++ b/review/rig/store.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeLatency is the time that the store takes to answer.
+const storeLatency = 4 * time.Millisecond
+
+// store is a stand-in of the platform's metadata store. It keeps its whole history.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]*object
+	history  []event
+	changed  chan struct{}
+	// staleLag is how old the data of reads with StaleOk is.
+	staleLag time.Duration
+}
+
+type metadata struct {
+	Name       string
+	Rev        uint64
+	CreateRev  uint64
+	Finalizers []string
+	Deleting   bool
+}
+
+type object struct {
+	Metadata metadata
+	Spec     json.RawMessage
+	Status   json.RawMessage
+}
+
+type event struct {
+	kind     string
+	revision uint64
+	at       time.Time
+	Deleted  bool
+	Object   *object
+}
+
+func newStore() *store {
+	return &store{revision: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
+}
+
+// put writes an object as the operator or a backend does, and returns when the store has
+// accepted it.
+func (s *store) put(kind, name string, spec any) (acknowledged time.Time) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, text)
+	return time.Now()
+}
+
+// write creates or replaces an object. s.mu must be held.
+func (s *store) write(kind, name string, spec json.RawMessage) *object {
+	s.revision++
+	next := &object{Metadata: metadata{Name: name, Rev: s.revision, CreateRev: s.revision, Finalizers: []string{}}, Spec: spec, Status: json.RawMessage("null")}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]*object{}
+	}
+	if before := s.objects[kind][name]; before != nil {
+		next.Metadata.CreateRev = before.Metadata.CreateRev
+	}
+	s.objects[kind][name] = next
+	s.publish(event{kind: kind, revision: s.revision, Object: next})
+	return next
+}
+
+// remove deletes an object.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before := s.objects[kind][name]; before != nil {
+		s.revision++
+		delete(s.objects[kind], name)
+		s.publish(event{kind: kind, revision: s.revision, Deleted: true, Object: before})
+	}
+}
+
+// publish adds an event to the history. s.mu must be held.
+func (s *store) publish(e event) {
+	e.at = time.Now()
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// asOf returns the revision that a read sees. s.mu must be held.
+func (s *store) asOf(stale bool) uint64 {
+	if !stale || s.staleLag == 0 {
+		return s.revision
+	}
+	horizon := time.Now().Add(-s.staleLag)
+	revision := uint64(100)
+	for _, e := range s.history {
+		if e.at.Before(horizon) {
+			revision = e.revision
+		}
+	}
+	return revision
+}
+
+// list returns the objects of a kind as of a revision. s.mu must be held.
+func (s *store) list(kind string, asOf uint64) map[string]*object {
+	state := map[string]*object{}
+	for _, e := range s.history {
+		switch {
+		case e.kind != kind || e.revision > asOf:
+		case e.Deleted:
+			delete(state, e.Object.Metadata.Name)
+		default:
+			state[e.Object.Metadata.Name] = e.Object
+		}
+	}
+	return state
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeLatency)
+	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name := path[0], ""
+	if len(path) > 1 {
+		name = path[1]
+	}
+	query := r.URL.Query()
+	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case r.Method == http.MethodGet && query.Has("Watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.read(w, kind, name, query.Get("StaleOk") == "1")
+	case r.Method == http.MethodPost || r.Method == http.MethodPut && len(path) == 2:
+		s.change(w, r, kind, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) read(w http.ResponseWriter, kind, name string, stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asOf := s.asOf(stale)
+	state := s.list(kind, asOf)
+	if name != "" {
+		if state[name] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(state[name])
+		return
+	}
+	items := []*object{}
+	for _, o := range state {
+		items = append(items, o)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "HasMore": false, "AsOf": asOf})
+}
+
+func (s *store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var body object
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodPost {
+		name = body.Metadata.Name
+	}
+	before := s.objects[kind][name]
+	switch {
+	case r.Method == http.MethodPost && before != nil, before != nil && body.Metadata.Rev != 0 && body.Metadata.Rev != before.Metadata.Rev:
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(before)
+		return
+	case r.Method == http.MethodPut && before == nil:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(s.write(kind, name, body.Spec))
+}
+
+// watch answers as soon as there is an event after the given revision.
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseUint(query.Get("Watch"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("WaitMs"))
+	stale := query.Get("StaleOk") == "1"
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		asOf, changed := s.asOf(stale), s.changed
+		events := []event{}
+		for _, e := range s.history {
+			if e.kind == kind && e.revision > since && e.revision <= asOf {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		if left := time.Until(end); len(events) == 0 && left > 0 {
+			if stale {
+				// An event becomes visible to stale reads without a further change.
+				left = min(left, 20*time.Millisecond)
+			}
+			timer := time.NewTimer(left)
+			select {
+			case <-changed:
+			case <-timer.C:
+			case <-r.Context().Done():
+				timer.Stop()
+				return
+			}
+			timer.Stop()
+			continue
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "AsOf": max(asOf, since)})
+		return
+	}
+}
+
+// door is the address at which one host reaches the store.
+type door struct {
+	store   *store
+	address string
+
+	mu     sync.Mutex
+	server *http.Server
+}
+
+// openDoor returns an address of the store for one host.
+func (s *store) openDoor() (*door, error) {
+	d := &door{store: s, address: "127.0.0.1:0"}
+	return d, d.open()
+}
+
+// open accepts calls, again after close.
+func (d *door) open() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, err := net.Listen("tcp", d.address)
+	if err != nil {
+		return err
+	}
+	d.address = l.Addr().String()
+	d.server = &http.Server{Handler: d.store, ReadHeaderTimeout: 5 * time.Second}
+	go func(server *http.Server) { _ = server.Serve(l) }(d.server)
+	return nil
+}
+
+// close refuses new connections and resets the open ones.
+func (d *door) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.server.Close()
+}
