Review case 2: planned restarts leave the fleet on an old configuration

Tried: the first version of this case killed three of six hosts; planned work alone is enough. Two of six hosts are restarted in turn, and a key dropped and a route moved 3 s later, with stale reads 4 s old.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -74,6 +74,9 @@
 	}
 	for _, h := range hosts {
 		h.wait(5 * time.Second)
+		if folder := os.Getenv("LOGS"); folder != "" {
+			_ = os.WriteFile(filepath.Join(folder, h.name+".log"), h.log.Bytes(), 0o600)
+		}
 	}
 	for _, end := range ends {
 		end()
--- a/review/rig/stale.go
+++ b/review/rig/stale.go
@@ -17,10 +17,13 @@
 const (
 	// staleLag is how old the store's answers to reads with StaleOk are.
 	staleLag = 4 * time.Second
-	// killedFor is how long the killed hosts are down.
-	killedFor = 2 * time.Second
-	// changeAfter is the time from the kill to the change of the configuration.
-	changeAfter = 200 * time.Millisecond
+	// stopGap is the time between the SIGTERMs of two hosts.
+	stopGap = 1300 * time.Millisecond
+	// startDelay is the time from the end of the last process to the start of the next ones.
+	startDelay = 500 * time.Millisecond
+	// changeAfter is the time from the start of the last process to the change of the
+	// configuration.
+	changeAfter = 3 * time.Second
 	// configBound is the time within which a version must be in force.
 	configBound = 2500 * time.Millisecond
 	staleWork   = 15 * time.Millisecond
@@ -39,8 +42,9 @@
 	status              int
 }
 
-// staleCase kills half of the hosts at once, drops a key and moves a route a moment
-// later, and checks when the other hosts stop to act on the version before.
+// staleCase removes two hosts for good. Later it restarts two others in turn, drops a key
+// and moves a route a moment after that, and checks when the hosts that were not touched
+// stop to act on the version before.
 func staleCase(r *rig) (bool, error) {
 	r.store.staleLag = staleLag
 	set := &backends{rig: r, work: staleWork}
@@ -58,8 +62,8 @@
 	// The first configuration is written before the hosts start.
 	time.Sleep(staleLag + time.Second)
 	var hosts []*host
-	for _, zone := range []string{"nord-a", "nord-b", "ost-a", "ost-b", "vest-a", "vest-b"} {
-		h, err := r.addHost("edge-"+zone+"-1", zone)
+	for _, name := range []string{"nord-a-1", "ost-a-1", "nord-a-2", "ost-a-2", "nord-b-1", "ost-b-1", "vest-a-1", "vest-b-1"} {
+		h, err := r.addHost("edge-"+name, name[:len(name)-2])
 		if err != nil {
 			return false, err
 		}
@@ -71,9 +75,16 @@
 	if err := awaitReady(20*time.Second, hosts...); err != nil {
 		return false, err
 	}
-	time.Sleep(contact + 3*time.Second)
-
-	killed, calm := []*host{hosts[0], hosts[2], hosts[4]}, []*host{hosts[1], hosts[3], hosts[5]}
+	time.Sleep(contact)
+	removed, restarted, calm := hosts[:2], hosts[2:4], hosts[4:]
+	for _, h := range removed {
+		r.record("SIGTERM to host %s (process %d), which is removed for good", h.name, h.process.Process.Pid)
+		h.signal(syscall.SIGTERM)
+		if !h.wait(grace) {
+			return false, fmt.Errorf("host %s did not stop", h.name)
+		}
+	}
+	time.Sleep(2 * contact)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group sync.WaitGroup
@@ -94,12 +105,10 @@
 	}
 	time.Sleep(time.Second)
 	if r.trouble {
-		for _, h := range killed {
-			r.record("SIGKILL to host %s (process %d)", h.name, h.process.Process.Pid)
-			h.signal(syscall.SIGKILL)
+		if err := restartInTurn(r, restarted); err != nil {
+			return false, err
 		}
 	}
-	killedAt := time.Now()
 	time.Sleep(changeAfter)
 	next := configuration(newVersion, keyKept)
 	next["Routes"].([]any)[1].(map[string]any)["Service"] = movedService
@@ -108,15 +117,6 @@
 	})
 	acknowledged := r.store.put("config", "main", next)
 	r.record("the store acknowledges r%d: a key dropped, %s moved to another service", newVersion, writePath)
-	if r.trouble {
-		time.Sleep(time.Until(killedAt.Add(killedFor)))
-		for _, h := range killed {
-			h.wait(time.Second)
-			if err := h.start(false); err != nil {
-				return false, err
-			}
-		}
-	}
 	time.Sleep(time.Until(acknowledged.Add(staleLag + 4*time.Second)))
 	cancel()
 	group.Wait()
@@ -151,6 +151,30 @@
 	return late > 0, nil
 }
 
+// restartInTurn stops hosts by SIGTERM, stopGap apart, and starts them again startDelay
+// after the last of them has ended.
+func restartInTurn(r *rig, hosts []*host) error {
+	for i, h := range hosts {
+		if i > 0 {
+			time.Sleep(stopGap)
+		}
+		r.record("SIGTERM to host %s (process %d)", h.name, h.process.Process.Pid)
+		h.signal(syscall.SIGTERM)
+	}
+	for _, h := range hosts {
+		if !h.wait(grace) {
+			return fmt.Errorf("host %s did not stop", h.name)
+		}
+	}
+	time.Sleep(startDelay)
+	for _, h := range hosts {
+		if err := h.start(false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sendSequence sends requests to a host on a kept connection until the context ends.
 func sendSequence(ctx context.Context, h *host, key, path string, sent func(*keyedRequest)) {
 	method := http.MethodGet
