--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -74,9 +75,6 @@
 	}
 	for _, h := range hosts {
 		h.wait(5 * time.Second)
-		if folder := os.Getenv("LOGS"); folder != "" {
-			_ = os.WriteFile(filepath.Join(folder, h.name+".log"), h.log.Bytes(), 0o600)
-		}
 	}
 	for _, end := range ends {
 		end()
@@ -161,7 +159,7 @@
 		*address = free
 	}
 	var err error
-	if h.firstInternalPort, err = freePortPair(); err != nil {
+	if h.firstInternalPort, err = freePorts(2); err != nil {
 		return nil, err
 	}
 	h.lastInternalPort = h.firstInternalPort + 1
@@ -300,36 +298,45 @@
 	return strings.TrimSpace(string(text)), nil
 }
 
+// The hosts listen at ports below the range from which the kernel takes the ports of
+// outgoing connections, which could otherwise take them before a host has started.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // freeAddress returns a loopback address at which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	port, err := freePorts(1)
+	return fmt.Sprintf("127.0.0.1:%d", port), err
 }
 
-// freePortPair returns the first of two adjacent ports that are free for TCP and UDP.
-func freePortPair() (int, error) {
-	for range 100 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		_ = first.Close()
-		if err != nil {
-			continue
+// freePorts returns the first of n adjacent ports that are free for TCP and UDP.
+func freePorts(n int) (int, error) {
+	for range 1000 {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		free := true
+		for port := first; port < first+n; port++ {
+			free = free && isFree(port)
 		}
-		_ = second.Close()
-		datagrams, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+		if free {
+			return first, nil
 		}
-		_ = datagrams.Close()
-		return port, nil
 	}
-	return 0, errors.New("no two adjacent ports are free")
+	return 0, errors.New("no port is free")
+}
+
+func isFree(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	stream, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = stream.Close()
+	datagrams, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = datagrams.Close()
+	return true
 }
