--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -33,6 +33,10 @@
 type backends struct {
 	rig  *rig
 	work time.Duration
+	// poison is the path of a request that crashes each backend that begins to run it.
+	poison string
+	// newIDs gives a backend a new ID when it starts again after a crash.
+	newIDs bool
 
 	mu         sync.Mutex
 	executions []*execution
@@ -48,28 +52,73 @@
 
 	mu      sync.Mutex
 	running int
+	server  *http.Server
 }
 
+const (
+	// downTime is how long a backend is down after a crash, coldTime how long it is then
+	// cold.
+	downTime = 3 * time.Second
+	coldTime = 3 * time.Second
+)
+
 // add starts a backend and registers it in the store.
 func (b *backends) add(id, service, zone string, slots int) (*backend, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	one := &backend{set: b, id: id, service: service, zone: zone, address: "127.0.0.1:0", slots: slots}
+	if err := one.listen(); err != nil {
 		return nil, err
 	}
-	one := &backend{set: b, id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, born: time.Now().UnixMilli()}
-	server := &http.Server{Handler: one, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
-	go func() { _ = server.Serve(l) }()
-	b.rig.atEnd(func() { _ = server.Close() })
-	one.register("ready")
+	b.rig.atEnd(one.close)
+	one.register("ready", 0)
 	return one, nil
 }
 
+// listen starts the process of the backend, again at the same address after a crash.
+func (b *backend) listen() error {
+	l, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.address, b.born, b.running = l.Addr().String(), time.Now().UnixMilli(), 0
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
+	go func(server *http.Server) { _ = server.Serve(l) }(b.server)
+	return nil
+}
+
+// close ends the process of the backend: it closes its connections and refuses new ones.
+func (b *backend) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.server.Close()
+}
+
+// crash ends the process and starts it again downTime later. A crashed backend sends
+// nothing to the store until it is back.
+func (b *backend) crash() {
+	b.close()
+	time.Sleep(downTime)
+	if b.set.newIDs {
+		b.set.rig.store.remove("servers", b.id)
+		b.id += "x"
+	}
+	if err := b.listen(); err != nil {
+		b.set.rig.record("backend %s could not start again: %v", b.id, err)
+		return
+	}
+	b.register("ready", coldTime)
+	b.set.rig.record("backend %s is back", b.id)
+	time.Sleep(coldTime)
+	b.register("ready", 0)
+}
+
 // register writes the entry of the backend and returns when the store has accepted it.
-func (b *backend) register(state string) time.Time {
+func (b *backend) register(state string, cold time.Duration) time.Time {
 	return b.set.rig.store.put("servers", b.id, map[string]any{
 		"Address": b.address, "born": b.born,
 		"Info":   map[string]any{"Service": b.service, "Version": "v1", "Zone": b.zone, "Slots": b.slots},
-		"Status": map[string]any{"State": state, "Sequence": 1, "Cold": "0ms"},
+		"Status": map[string]any{"State": state, "Sequence": 1, "Cold": fmt.Sprintf("%dms", cold.Milliseconds())},
 	})
 }
 
@@ -90,6 +139,11 @@
 	b.set.mu.Lock()
 	b.set.executions = append(b.set.executions, e)
 	b.set.mu.Unlock()
+	if b.set.poison != "" && r.URL.Path == b.set.poison {
+		b.set.rig.record("backend %s begins to run %s and crashes", b.id, id)
+		go b.crash()
+		panic(http.ErrAbortHandler)
+	}
 	whole := sleep(r.Context(), b.set.work)
 	load := b.end()
 	b.set.mu.Lock()
