--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -311,17 +311,25 @@
 	return fmt.Sprintf("127.0.0.1:%d", port), err
 }
 
-// freePorts returns the first of n adjacent ports that are free for TCP and UDP.
+// takenPorts holds the ports that freePorts has returned.
+var takenPorts = map[int]bool{}
+
+// freePorts returns the first of n adjacent ports that are free for TCP and UDP. It
+// returns no port twice.
 func freePorts(n int) (int, error) {
 	for range 1000 {
 		first := firstPort + rand.IntN(lastPort-firstPort)
 		free := true
 		for port := first; port < first+n; port++ {
-			free = free && isFree(port)
+			free = free && !takenPorts[port] && isFree(port)
+		}
+		if !free {
+			continue
 		}
-		if free {
-			return first, nil
+		for port := first; port < first+n; port++ {
+			takenPorts[port] = true
 		}
+		return first, nil
 	}
 	return 0, errors.New("no port is free")
 }
