--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -87,7 +87,7 @@
 type host struct {
 	rig                                 *rig
 	name, zone                          string
-	public, readiness, directory, admin string
+	public, readiness, directory        string
 	firstInternalPort, lastInternalPort int
 	door                                *door
 	file                                string
