--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -87,8 +87,8 @@
 	cut := []*host{hosts[0], hosts[2]}
 	for _, h := range cut {
 		if r.trouble {
-			r.record("host %s is cut off from the store", h.name)
-			h.door.close()
+			r.record("host %s is cut off from the store, silently", h.name)
+			h.door.partition()
 		}
 	}
 	cutAt := time.Now()
@@ -109,9 +109,7 @@
 			break
 		}
 		r.record("host %s reaches the store again", h.name)
-		if err := h.door.open(); err != nil {
-			return false, err
-		}
+		h.door.heal()
 	}
 	time.Sleep(quotaWindow)
 	cancel()
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -237,6 +237,61 @@
 
 	mu     sync.Mutex
 	server *http.Server
+	// healed is closed when the partition ends; nil without a partition.
+	healed chan struct{}
+}
+
+// partition holds back all calls and answers of the host until heal, as a partition does
+// that drops packets which are sent again later.
+func (d *door) partition() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.healed = make(chan struct{})
+}
+
+// heal ends the partition.
+func (d *door) heal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.healed)
+	d.healed = nil
+}
+
+// awaitPath waits until there is no partition. It returns false if the host gives up
+// before.
+func (d *door) awaitPath(r *http.Request) bool {
+	d.mu.Lock()
+	healed := d.healed
+	d.mu.Unlock()
+	if healed == nil {
+		return true
+	}
+	select {
+	case <-healed:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// heldWriter writes an answer once there is a path.
+type heldWriter struct {
+	http.ResponseWriter
+	door    *door
+	request *http.Request
+}
+
+func (w heldWriter) Write(p []byte) (int, error) {
+	if !w.door.awaitPath(w.request) {
+		return 0, w.request.Context().Err()
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.awaitPath(r) {
+		d.store.ServeHTTP(heldWriter{ResponseWriter: w, door: d, request: r}, r)
+	}
 }
 
 // openDoor returns an address of the store for one host.
@@ -254,7 +309,7 @@
 		return err
 	}
 	d.address = l.Addr().String()
-	d.server = &http.Server{Handler: d.store, ReadHeaderTimeout: 5 * time.Second}
+	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
 	go func(server *http.Server) { _ = server.Serve(l) }(d.server)
 	return nil
 }
