Log requests that end without a response, and count them in planned stops

A request that was read and whose connection ends without its whole response now has a line with its cause, its upstream and its times relative to the SIGTERM, in a budget of its own (200 lines a second); the begin and the end of a planned stop count connections, requests, reads after the SIGTERM, late attempts and cut requests.

No change of logic.

--- a/edge/control.go
+++ b/edge/control.go
@@ -139,7 +139,7 @@
 // updateSelf passes this host's state to the gossip machine.
 func (e *Edge) updateSelf() {
 	e.loop.Forward(e.modules.gossip, gossip.SetSelf{
-		Leaving: e.draining.Load(), Rate: e.arrivals.measure(e.now()), Revisions: e.revisions(),
+		Leaving: e.isStopping(), Rate: e.arrivals.measure(e.now()), Revisions: e.revisions(),
 	})
 }
 
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -21,7 +21,7 @@
 
 // ready reports whether the host can serve requests.
 func (e *Edge) ready() bool {
-	return !e.draining.Load() && e.snapshot.Load() != nil && e.steering.UpstreamCount() > 0 && e.peers.Load() != nil && e.limits.HasShare()
+	return !e.isStopping() && e.snapshot.Load() != nil && e.steering.UpstreamCount() > 0 && e.peers.Load() != nil && e.limits.HasShare()
 }
 
 func (e *Edge) readinessHandler() http.Handler {
@@ -59,7 +59,7 @@
 	}
 	var local, all []netip.AddrPort
 	for _, h := range *entryHosts {
-		if !h.Alive || h.Leaving || h.ID == e.Settings.ID && e.draining.Load() {
+		if !h.Alive || h.Leaving || h.ID == e.Settings.ID && e.isStopping() {
 			continue
 		}
 		all = append(all, h.Callers)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -107,8 +107,9 @@
 	// hosts are the registered entry hosts; nil until the first list arrives.
 	hosts atomic.Pointer[[]catalog.Host]
 	// peers are the entry hosts with their state according to gossip.
-	peers    atomic.Pointer[[]gossip.Peer]
-	draining atomic.Bool
+	peers atomic.Pointer[[]gossip.Peer]
+	// stop is the planned stop; nil until it begins.
+	stop atomic.Pointer[plannedStop]
 	// splits is the round-robin state of weighted routes by route name.
 	splits splitTable
 
@@ -151,6 +152,7 @@
 	}
 	e.server = ingress.New(ingress.Config{
 		Handler:        e.handle,
+		Unanswered:     e.logUnanswered,
 		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
 		BodyBytes:      o.Settings.memoryBytes() / requestMemoryPart,
@@ -257,7 +259,8 @@
 			e.logUpstreams(removed, changed, 0)
 			e.upstream.CloseExpired(at)
 			if omitted := e.logSink.TakeOmitted(); omitted != (logsink.Omitted{}) {
-				e.log.Info().Int("successes", omitted.Successes).Int("failures", omitted.Failures).Int("dropped", omitted.Dropped).Msg("lines left out")
+				e.log.Info().Int("successes", omitted.Successes).Int("failures", omitted.Failures).
+					Int("unanswered", omitted.Unanswered).Int("dropped", omitted.Dropped).Msg("lines left out")
 			}
 		}
 	}
--- a/edge/request.go
+++ b/edge/request.go
@@ -71,6 +71,9 @@
 // handle serves one request of a caller.
 func (e *Edge) handle(ctx context.Context, in *ingress.Request) (response *ingress.Response) {
 	e.arrivals.count.Add(1)
+	if stop := e.stop.Load(); stop != nil && in.Received.After(stop.began) {
+		stop.read.Add(1)
+	}
 	r := &request{e: e, in: in, fields: e.Codec.CallerFields(in.Request), snapshot: e.snapshot.Load()}
 	outcome := "panic"
 	defer func() {
@@ -198,6 +201,10 @@
 
 // exchange makes one attempt and reports its result.
 func (r *request) exchange(attemptCtx context.Context, out *upstream.Request) {
+	r.in.SetSentTo(r.choice.ID)
+	if stop := r.e.stop.Load(); stop != nil && stop.isLate(time.Now()) {
+		stop.sentLate.Add(1)
+	}
 	inFlight := r.e.inFlightRequests.ForUpstream(r.choice.ID)
 	inFlight.Add(r.fingerprint)
 	attempt := upstream.Attempt{Target: r.choice.ID, Customer: r.customerName(), TimeLeft: r.timeLeft()}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,7 +63,9 @@
 	mu sync.Mutex
 	// unanswered counts the requests that are being read or not answered yet.
 	unanswered int
-	closing    bool
+	// open holds the requests that were read and are not answered yet, in order.
+	open    []*pendingRequest
+	closing bool
 	// lastUsed is when the last response was written or the connection opened.
 	lastUsed time.Time
 	// used is true once a response was written.
@@ -71,6 +74,8 @@
 
 // pendingRequest is a request that was read and is not answered yet.
 type pendingRequest struct {
+	// request is nil if the request could not be read.
+	request  *Request
 	response chan *Response
 	// last is true if the connection is closed after the response.
 	last bool
@@ -156,7 +161,8 @@
 			c.handleReadError(err)
 			return
 		}
-		p := &pendingRequest{response: make(chan *Response, 1), last: last}
+		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: last}
+		c.addOpen(p)
 		go func() {
 			p.response <- c.server.config.Handler(c.ctx, request)
 			request.memory.Release()
@@ -217,6 +223,11 @@
 	}
 }
 
+// ConnectionEndedError reports a request behind a response that ended the connection.
+type ConnectionEndedError struct{}
+
+func (*ConnectionEndedError) Error() string { return "an earlier response ended the connection" }
+
 // badRequestError reports a request that is not valid HTTP.
 type badRequestError struct{ cause error }
 
@@ -350,6 +361,31 @@
 	return true
 }
 
+// addOpen adds a request that was read.
+func (c *conn) addOpen(p *pendingRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = append(c.open, p)
+}
+
+// removeOpen removes a request that was answered or dropped.
+func (c *conn) removeOpen(p *pendingRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+}
+
+// openRequests returns the requests that were read and are not answered yet.
+func (c *conn) openRequests() []*Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	requests := make([]*Request, 0, len(c.open))
+	for _, p := range c.open {
+		requests = append(requests, p.request)
+	}
+	return requests
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -389,14 +425,18 @@
 	done := false
 	for p := range c.queue {
 		if done {
-			go func() { (<-p.response).release() }()
+			c.dropRequest(p)
 			continue
 		}
 		response := <-p.response
 		closesAfter := c.closesAfter(p, response)
-		if response.Status == 0 || c.writeResponse(response, closesAfter) != nil {
+		if response.Status == 0 {
 			done = true
+		} else if err := c.writeResponse(response, closesAfter); err != nil {
+			done = true
+			c.reportUnanswered(p, err)
 		}
+		c.removeOpen(p)
 		response.release()
 		c.mu.Lock()
 		c.unanswered--
@@ -411,6 +451,22 @@
 	}
 }
 
+// dropRequest gives up a request behind a response that ended the connection.
+func (c *conn) dropRequest(p *pendingRequest) {
+	c.reportUnanswered(p, &ConnectionEndedError{})
+	go func() {
+		(<-p.response).release()
+		c.removeOpen(p)
+	}()
+}
+
+// reportUnanswered reports a request whose connection ends without its whole response.
+func (c *conn) reportUnanswered(p *pendingRequest, cause error) {
+	if report := c.server.config.Unanswered; report != nil && p.request != nil {
+		report(p.request, cause)
+	}
+}
+
 // closesAfter reports whether the connection is closed after a response. If the
 // server drains or the response requests it, that is once no other request is
 // unanswered, because pipelined requests may already be running.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -29,6 +29,9 @@
 type Config struct {
 	// Handler answers requests; it is called concurrently.
 	Handler Handler
+	// Unanswered, if set, is called for a request that was read and whose connection ends
+	// without its whole response, unless the handler itself asked for that.
+	Unanswered func(r *Request, cause error)
 	// Limits returns the current limits; it is called concurrently.
 	Limits func() Limits
 	// MaxConnections is the maximum number of connections. When a further one
@@ -168,6 +171,17 @@
 	return len(s.conns)
 }
 
+// OpenRequests returns the requests that were read and are not answered yet.
+func (s *Server) OpenRequests() []*Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var open []*Request
+	for c := range s.conns {
+		open = append(open, c.openRequests()...)
+	}
+	return open
+}
+
 // closeIdleInterval is the interval in which Wait closes connections that have become
 // idle without a response, because their callers have sent nothing.
 const closeIdleInterval = 200 * time.Millisecond
--- a/ingress/types.go
+++ b/ingress/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinspring/catkinspring/fleet"
@@ -53,6 +54,19 @@
 	memory *bytebudget.Account
 	// Received is when the first byte of the header arrived.
 	Received time.Time
+	// sentTo is the upstream that last got the request.
+	sentTo atomic.Pointer[fleet.Upstream]
+}
+
+// SetSentTo records that the request is sent to an upstream.
+func (r *Request) SetSentTo(u fleet.Upstream) { r.sentTo.Store(&u) }
+
+// SentTo returns the upstream that last got the request; empty if none did.
+func (r *Request) SentTo() fleet.Upstream {
+	if u := r.sentTo.Load(); u != nil {
+		return *u
+	}
+	return ""
 }
 
 // Response is a response with its whole body. A Status of 0 closes the connection
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -24,11 +24,12 @@
 	// maxBufferedBytes bounds the lines in memory. It holds a few seconds of the
 	// budgets below.
 	maxBufferedBytes = 512 << 10
-	// MaxSuccessLinesPerSecond and MaxFailureLinesPerSecond are the budgets of the
-	// classes: together at most 140 lines or about 70 KB per second. A host serves
-	// about 100 requests per second.
-	MaxSuccessLinesPerSecond = 40
-	MaxFailureLinesPerSecond = 100
+	// MaxSuccessLinesPerSecond, MaxFailureLinesPerSecond and MaxUnansweredLinesPerSecond
+	// are the budgets of the classes: together at most 340 lines or about 170 KB per
+	// second. A host serves about 100 requests per second.
+	MaxSuccessLinesPerSecond    = 40
+	MaxFailureLinesPerSecond    = 100
+	MaxUnansweredLinesPerSecond = 200
 )
 
 // Class is the class of a log line.
@@ -38,6 +39,8 @@
 const (
 	Success Class = iota
 	Failure
+	// Unanswered is the class of requests whose connection ended without a response.
+	Unanswered
 	classCount
 )
 
@@ -86,7 +89,7 @@
 	if second := s.now().Unix(); second != s.second {
 		s.second, s.used = second, [classCount]int{}
 	}
-	if s.used[c] >= [classCount]int{MaxSuccessLinesPerSecond, MaxFailureLinesPerSecond}[c] {
+	if s.used[c] >= [classCount]int{MaxSuccessLinesPerSecond, MaxFailureLinesPerSecond, MaxUnansweredLinesPerSecond}[c] {
 		s.overBudget[c]++
 		return false
 	}
@@ -96,15 +99,16 @@
 
 // Omitted counts the lines that were not written.
 type Omitted struct {
-	// Successes and Failures exceeded their budgets, Dropped did not fit in the buffer.
-	Successes, Failures, Dropped int
+	// Successes, Failures and Unanswered exceeded their budgets, Dropped did not fit in the
+	// buffer.
+	Successes, Failures, Unanswered, Dropped int
 }
 
 // TakeOmitted returns and resets the counts of omitted lines.
 func (s *Sink) TakeOmitted() Omitted {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := Omitted{Successes: s.overBudget[Success], Failures: s.overBudget[Failure], Dropped: s.dropped}
+	o := Omitted{Successes: s.overBudget[Success], Failures: s.overBudget[Failure], Unanswered: s.overBudget[Unanswered], Dropped: s.dropped}
 	s.overBudget, s.dropped = [classCount]int{}, 0
 	return o
 }
