--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -90,3 +90,29 @@
 	_, err := net.Dial("tcp", l.Addr().String())
 	require.Error(t, err)
 }
+
+// Guards against a planned stop that never ends a connection whose caller always has a
+// request open, and cuts its last requests.
+func TestDrainEndsConnectionThatPipelinesWithoutBreak(t *testing.T) {
+	release := make(chan struct{}, 8)
+	r := startServer(t, Limits{}, func(ctx context.Context, request *Request) *Response {
+		<-release
+		return echo(ctx, request)
+	})
+	c, reader := r.dial(t)
+	send(t, c, get("/1"), get("/2"))
+	<-r.started
+	<-r.started
+	r.Drain()
+	for i := 1; i <= 2; i++ {
+		send(t, c, get(fmt.Sprint("/", i+2)))
+		release <- struct{}{}
+		response, body := read(t, reader)
+		require.Equal(t, fmt.Sprint("/", i), body)
+		require.Equal(t, i == 2, response.Close, "the response to the last request that was read when the drain began closes the connection")
+	}
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, r.started, "requests behind the last one must not be handled")
+	close(release)
+}
