Planned stop: end connections whose callers pipeline without a break

Callers saw requests that a host had passed on end with a closed connection at the exit of its process, 5.6 s after the SIGTERM. A stopping host closed a connection only after the response to its only open request, and went on accepting; a caller that always has the next request under way kept the connection open to the end.

While it drains, a server now accepts a request only if no other one is open on its connection, and closes the connection after it. Requests behind a response with Connection: close have not been accepted, and their callers repeat them. What was read for a connection that is asked to close is accepted instead of dropped; the idle timeout runs from the response instead of from the request (a response later than IdleTimeout was followed by a close); the close waits for bytes that the caller has not acknowledged.

TestDrainEndsConnectionThatPipelinesWithoutBreak failed before: the response to the second of two open requests does not close the connection.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -2,50 +2,39 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/catkinspring/catkinspring/internal/bytebudget"
 	"github.com/catkinspring/catkinspring/upstream"
 )
 
 const (
 	// maxPipelined is the number of requests of one connection that may be queued
 	// behind the one that is answered next.
-	maxPipelined = 16
-	// The defaults apply until there is a configuration, and where it sets no value.
-	defaultHeaderBytes   = 16 << 10
-	defaultBodyBytes     = 8 << 20
-	defaultIdleTimeout   = 15 * time.Second
-	defaultHeaderTimeout = 3 * time.Second
-	// bodyTimeout is the timeout for receiving a body.
-	bodyTimeout = 10 * time.Second
-	// writeTimeout is the timeout for sending a response to a caller that reads
-	// slowly.
-	writeTimeout    = 10 * time.Second
+	maxPipelined    = 16
 	readBufferBytes = 4 << 10
-	// maxFramingBytes bounds the chunk headers and the trailer of a body. net/http
-	// itself rejects bodies with much more framing than content.
-	maxFramingBytes = 256 << 10
-	// memoryRetryAfter is the Retry-After when bodies hold their part of the memory:
-	// about the time in which a request is answered.
-	memoryRetryAfter = 400 * time.Millisecond
+	// newConnectionGrace is how long a connection without a request is not considered
+	// idle: its caller has opened it to send one.
+	newConnectionGrace = time.Second
+	// lingerTime is how long linger waits for the caller to read the last response and
+	// to close its side.
+	lingerTime = 500 * time.Millisecond
 )
 
 // keepAlive detects callers whose machine is unresponsive. The kernel resets their
 // connections after about 5 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-// conn is a connection of a caller.
+// pastDeadline is a deadline that interrupts a read immediately.
+var pastDeadline = time.Unix(1, 0)
+
+// conn is a connection of a caller. One goroutine reads requests, another one writes
+// the responses in the same order.
 type conn struct {
 	server *Server
 	raw    net.Conn
@@ -61,18 +50,21 @@
 	cancel      context.CancelFunc
 
 	mu sync.Mutex
-	// unanswered counts the requests that are being read or not answered yet.
-	unanswered int
-	// open holds the requests that were read and are not answered yet, in order.
-	open    []*pendingRequest
+	// reading is true from the first byte of a request until it is accepted or refused.
+	reading bool
+	// open holds the accepted requests without a response, in order.
+	open []*pendingRequest
+	// closing is true once no further request is accepted.
 	closing bool
+	// closeRequested is true while closeIfIdle waits for the reader to end.
+	closeRequested bool
 	// lastUsed is when the last response was written or the connection opened.
 	lastUsed time.Time
 	// used is true once a response was written.
 	used bool
 }
 
-// pendingRequest is a request that was read and is not answered yet.
+// pendingRequest is an accepted request that is not answered yet.
 type pendingRequest struct {
 	// request is nil if the request could not be read.
 	request  *Request
@@ -81,40 +73,17 @@
 	last bool
 }
 
-// limitedReader limits the bytes that may be read for one header or body.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-	// exceeded is the error of a read beyond the limit.
-	exceeded error
-	// err is the error of the last read. The parser reports a line that it truncated
-	// as malformed.
-	err error
-}
-
-// HeaderTooLargeError reports a header that exceeds the limit.
-type HeaderTooLargeError struct{}
+// ClosingError reports that a connection is being closed. It counts as a timeout, so
+// that handleReadError does not cancel the accepted requests.
+type ClosingError struct{}
 
-func (*HeaderTooLargeError) Error() string { return "the header is larger than allowed" }
+func (*ClosingError) Error() string { return "the connection is being closed" }
 
-// start begins a header or body of at most limit bytes.
-func (l *limitedReader) start(limit int64, exceeded error) {
-	l.remaining, l.exceeded = limit, exceeded
-}
+// Timeout implements net.Error.
+func (*ClosingError) Timeout() bool { return true }
 
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		l.err = l.exceeded
-		return 0, l.err
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.source.Read(p)
-	l.remaining -= int64(n)
-	l.err = err
-	return n, err
-}
+// Temporary implements net.Error.
+func (*ClosingError) Temporary() bool { return false }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	if tcp, ok := raw.(*net.TCPConn); ok {
@@ -124,7 +93,7 @@
 	c := &conn{server: s, raw: raw, lastUsed: time.Now(), queue: make(chan *pendingRequest, maxPipelined)}
 	c.limit = &limitedReader{source: raw}
 	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(s.work)
 	return c
 }
 
@@ -148,34 +117,47 @@
 // linger discards what the caller still sends. Closing a connection with unread
 // bytes would reset it, and the caller might lose the last response.
 func (c *conn) linger() {
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.raw)
+	for end := time.Now().Add(writeTimeout); ; {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		_, err := io.Copy(io.Discard, c.raw)
+		if !isTimeout(err) || !hasUnsentBytes(c.raw) || time.Now().After(end) {
+			return
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
 }
 
 // readRequests reads requests until the connection ends. If that fails because the
-// caller disconnected, the running requests are cancelled.
+// caller disconnected, the accepted requests are cancelled.
 func (c *conn) readRequests() {
 	for {
-		request, last, err := c.readRequest()
+		request, err := c.readRequest()
 		if err != nil {
 			c.handleReadError(err)
 			return
 		}
-		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: last}
-		c.addOpen(p)
+		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: request.Close}
+		if !c.accept(p) {
+			request.memory.Release()
+			return
+		}
 		go func() {
 			p.response <- c.server.config.Handler(c.ctx, request)
 			request.memory.Release()
 		}()
 		c.queue <- p
-		if last {
+		if p.last {
 			c.watchForDisconnect()
 			return
 		}
 	}
 }
 
-// watchForDisconnect cancels the running requests if the caller disconnects before
+// watchForDisconnect cancels the accepted requests if the caller disconnects before
 // the last response.
 func (c *conn) watchForDisconnect() {
 	c.limit.start(1, &HeaderTooLargeError{})
@@ -187,336 +169,143 @@
 	}()
 }
 
-// refuse queues an error response to a request that could not be read.
-func (c *conn) refuse(status int, retryAfter time.Duration) {
-	p := &pendingRequest{response: make(chan *Response, 1), last: true}
-	p.response <- Refuse(status, retryAfter)
-	c.beginRequest()
-	c.queue <- p
-}
-
-// handleReadError refuses the request that could not be read, or cancels the running
-// requests if the connection failed.
-func (c *conn) handleReadError(err error) {
-	var large *HeaderTooLargeError
-	var body *http.MaxBytesError
-	var memory *bytebudget.ExceededError
-	var bad *badRequestError
-	var slow *slowRequestError
-	var network net.Error
-	switch {
-	case errors.As(err, &large):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge, 0)
-	case errors.As(err, &body):
-		c.refuse(http.StatusRequestEntityTooLarge, 0)
-	case errors.As(err, &memory):
-		// Nothing was sent upstream, so the request has not run.
-		c.refuse(http.StatusServiceUnavailable, memoryRetryAfter)
-	case errors.As(err, &bad):
-		c.refuse(http.StatusBadRequest, 0)
-	case errors.As(err, &slow):
-		c.refuse(http.StatusRequestTimeout, 0)
-	case errors.As(err, &network) && network.Timeout():
-		// The connection is idle. Requests that were read before are still answered.
-	default:
-		c.cancel()
-	}
-}
-
-// ConnectionEndedError reports a request behind a response that ended the connection.
-type ConnectionEndedError struct{}
-
-func (*ConnectionEndedError) Error() string { return "an earlier response ended the connection" }
-
-// badRequestError reports a request that is not valid HTTP.
-type badRequestError struct{ cause error }
-
-func (e *badRequestError) Error() string { return "malformed request: " + e.cause.Error() }
-func (e *badRequestError) Unwrap() error { return e.cause }
-
-// errClosing stops the reading of a connection that is being closed. It counts as a
-// timeout, so that handleReadError does not cancel the running requests.
-var errClosing net.Error = &closingError{}
-
-type closingError struct{}
-
-func (*closingError) Error() string   { return "the connection is being closed" }
-func (*closingError) Timeout() bool   { return true }
-func (*closingError) Temporary() bool { return false }
-
-// readRequest reads one request. last is true if it is the last request of the
-// connection.
-func (c *conn) readRequest() (r *Request, last bool, err error) {
-	limits := c.server.config.Limits()
-	c.limit.start(int64(orDefault(limits.HeaderBytes, defaultHeaderBytes))+readBufferBytes, &HeaderTooLargeError{})
-	if err := c.raw.SetReadDeadline(time.Now().Add(orDefault(limits.IdleTimeout, defaultIdleTimeout))); err != nil {
-		return nil, false, err
-	}
-	if c.isClosing() {
-		return nil, false, errClosing
-	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return nil, false, err
-	}
-	received := time.Now()
-	if !c.beginRequest() {
-		return nil, false, errClosing
-	}
-	if err := c.raw.SetReadDeadline(received.Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout))); err != nil {
-		return nil, false, err
-	}
-	parsed, err := http.ReadRequest(c.reader)
-	if err != nil {
-		return nil, false, c.classifyReadError(err)
-	}
-	body, memory, err := c.readBody(parsed, orDefault(limits.BodyBytes, defaultBodyBytes))
-	if err != nil {
-		return nil, false, err
+// awaitRequest waits for the first byte of a request. It returns a timeout if the
+// connection has been idle for the given time or is being closed.
+func (c *conn) awaitRequest(idleTimeout time.Duration) error {
+	for {
+		if err := c.setIdleDeadline(idleTimeout); err != nil {
+			return err
+		}
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return c.beginReading()
+		}
+		if !isTimeout(err) {
+			return err
+		}
+		if c.endIfIdle(idleTimeout) {
+			return &ClosingError{}
+		}
 	}
-	return &Request{Request: parsed, Body: body, Received: received, memory: memory}, parsed.Close, nil
 }
 
-// classifyReadError distinguishes a malformed request from an incomplete one.
-func (c *conn) classifyReadError(err error) error {
-	var network net.Error
+// setIdleDeadline sets the time until which the connection may stay without a request.
+// That time begins with the last response.
+func (c *conn) setIdleDeadline(idleTimeout time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
-	case errors.As(c.limit.err, &network) && network.Timeout():
-		return &slowRequestError{}
-	case c.limit.err != nil:
-		return c.limit.err
+	case c.closing:
+		return &ClosingError{}
+	case c.closeRequested:
+		return c.raw.SetReadDeadline(pastDeadline)
+	case len(c.open) > 0:
+		return c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
-	return &badRequestError{cause: err}
+	return c.raw.SetReadDeadline(c.lastUsed.Add(idleTimeout))
 }
 
-// slowRequestError reports a request that was not received in time.
-type slowRequestError struct{}
-
-func (*slowRequestError) Error() string { return "the request did not arrive in time" }
-
-// readBody reads the body of a request and returns its reservation.
-func (c *conn) readBody(r *http.Request, limit int64) ([]byte, *bytebudget.Account, error) {
-	memory := c.server.bodies.Open()
-	if r.ContentLength == 0 {
-		return nil, memory, nil
-	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, nil, err
-	}
-	c.limit.start(limit+maxFramingBytes, &http.MaxBytesError{Limit: limit})
-	body, err := bytebudget.ReadAll(c.bodyReader(r), r.ContentLength, limit, memory)
-	if err == nil {
-		return body, memory, nil
-	}
-	memory.Release()
-	var tooLarge *http.MaxBytesError
-	var exceeded *bytebudget.ExceededError
-	if errors.As(err, &tooLarge) || errors.As(err, &exceeded) {
-		return nil, nil, err
-	}
-	return nil, nil, c.classifyReadError(err)
-}
-
-// bodyReader returns the body of a request. A caller that waits for 100 Continue is
-// asked for the body by the first read, for which memory is reserved then.
-func (c *conn) bodyReader(r *http.Request) io.Reader {
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		return &continueReader{conn: c.raw, body: r.Body}
-	}
-	return r.Body
-}
-
-// continueReader sends 100 Continue before the first read of a body.
-type continueReader struct {
-	conn io.Writer
-	body io.Reader
-	sent bool
-}
-
-func (r *continueReader) Read(p []byte) (int, error) {
-	if !r.sent {
-		r.sent = true
-		if _, err := io.WriteString(r.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return 0, err
-		}
-	}
-	return r.body.Read(p)
-}
-
-func orDefault[T int | int64 | time.Duration](value, fallback T) T {
-	if value > 0 {
-		return value
+// beginReading notes that a request has begun to arrive.
+func (c *conn) beginReading() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return &ClosingError{}
 	}
-	return fallback
+	c.reading, c.closeRequested = true, false
+	return nil
 }
 
-// beginRequest counts a request that is being read. It returns false if the
-// connection is being closed.
-func (c *conn) beginRequest() bool {
+// endIfIdle reports whether the connection ends after a read timeout: it has no open
+// request, nothing has arrived, and it was asked to close or has been idle for long.
+func (c *conn) endIfIdle(idleTimeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
+		return true
+	}
+	requested := c.closeRequested
+	c.closeRequested = false
+	if !upstream.IsIdle(c.raw) {
+		c.lastUsed = time.Now()
+		return false
+	}
+	if len(c.open) > 0 || !requested && time.Since(c.lastUsed) < idleTimeout {
 		return false
 	}
-	c.unanswered++
+	c.closing = true
 	return true
 }
 
-// addOpen adds a request that was read.
-func (c *conn) addOpen(p *pendingRequest) {
+// accept decides whether a request that was read is handled. While the server drains,
+// a request is accepted only if no other one is open on its connection, and then it is
+// the last one; requests behind a response that closes the connection count as not
+// sent.
+func (c *conn) accept(p *pendingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
+	draining := c.server.draining.Load()
+	if c.closing || draining && len(c.open) > 0 {
+		if draining {
+			c.server.droppedPipelined.Add(1)
+		}
+		return false
+	}
+	p.last = p.last || draining
 	c.open = append(c.open, p)
+	return true
 }
 
-// removeOpen removes a request that was answered or dropped.
-func (c *conn) removeOpen(p *pendingRequest) {
+// remove removes a request that was answered or given up.
+func (c *conn) remove(p *pendingRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+	c.lastUsed, c.used = time.Now(), true
 }
 
-// openRequests returns the requests that were read and are not answered yet.
+// openRequests returns the accepted requests without a response.
 func (c *conn) openRequests() []*Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	requests := make([]*Request, 0, len(c.open))
 	for _, p := range c.open {
-		requests = append(requests, p.request)
+		if p.request != nil {
+			requests = append(requests, p.request)
+		}
 	}
 	return requests
 }
 
-func (c *conn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
-// newConnectionGrace is how long a connection without a request is not considered
-// idle: its caller has opened it to send one.
-const newConnectionGrace = time.Second
-
-// closeIfIdle closes a connection without unanswered requests, and reports whether
-// it did. A request that has arrived but was not read counts as unanswered.
+// closeIfIdle closes a connection without open requests, and reports whether it did.
+// A request that has arrived but was not read counts as open.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 0 || c.closing || !c.used && time.Since(c.lastUsed) < newConnectionGrace {
+	if !c.isIdle() || !c.used && time.Since(c.lastUsed) < newConnectionGrace || !upstream.IsIdle(c.raw) {
 		return false
 	}
-	if !upstream.IsIdle(c.raw) {
-		return false
-	}
-	c.closing = true
-	_ = c.raw.SetReadDeadline(time.Now())
+	c.closeRequested = true
+	_ = c.raw.SetReadDeadline(pastDeadline)
 	return true
 }
 
+// isIdle reports whether no request is open or arriving. c.mu must be held.
+func (c *conn) isIdle() bool { return len(c.open) == 0 && !c.reading && !c.closing }
+
 // idleFor returns how long the connection has been unused, and whether it is idle.
 func (c *conn) idleFor(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.lastUsed), c.unanswered == 0 && !c.closing
+	return now.Sub(c.lastUsed), c.isIdle()
 }
 
-// writeResponses writes the responses in the order of the requests. A response that
-// closes the connection is the last one: later requests get no response.
-func (c *conn) writeResponses() {
-	done := false
-	for p := range c.queue {
-		if done {
-			c.dropRequest(p)
-			continue
-		}
-		response := <-p.response
-		closesAfter := c.closesAfter(p, response)
-		if response.Status == 0 {
-			done = true
-		} else if err := c.writeResponse(response, closesAfter); err != nil {
-			done = true
-			c.reportUnanswered(p, err)
-		}
-		c.removeOpen(p)
-		response.release()
-		c.mu.Lock()
-		c.unanswered--
-		c.lastUsed, c.used = time.Now(), true
-		c.mu.Unlock()
-		if done || closesAfter {
-			done = true
-			c.closeWrite()
-		} else if c.server.isDraining() {
-			c.closeIfIdle()
-		}
-	}
-}
-
-// dropRequest gives up a request behind a response that ended the connection.
-func (c *conn) dropRequest(p *pendingRequest) {
-	c.reportUnanswered(p, &ConnectionEndedError{})
-	go func() {
-		(<-p.response).release()
-		c.removeOpen(p)
-	}()
-}
-
-// reportUnanswered reports a request whose connection ends without its whole response.
-func (c *conn) reportUnanswered(p *pendingRequest, cause error) {
-	if report := c.server.config.Unanswered; report != nil && p.request != nil {
-		report(p.request, cause)
-	}
-}
-
-// closesAfter reports whether the connection is closed after a response. If the
-// server drains or the response requests it, that is once no other request is
-// unanswered, because pipelined requests may already be running.
-func (c *conn) closesAfter(p *pendingRequest, response *Response) bool {
-	if p.last {
-		return true
-	}
-	if !response.Close && !c.server.isDraining() {
-		return false
-	}
+// stopReading interrupts the reading of a request that is not complete.
+func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 1 {
-		return false
-	}
-	c.closing = true
-	return true
-}
-
-// closeWrite closes the sending side, stops the reader and cancels the requests that
-// still run.
-func (c *conn) closeWrite() {
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
-	c.writeClosed = true
-	c.cancel()
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	_ = c.raw.SetReadDeadline(time.Now())
-}
-
-// lingerTime is how long linger waits for the caller to read the last response.
-const lingerTime = 500 * time.Millisecond
-
-func (c *conn) writeResponse(r *Response, last bool) error {
-	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
-	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
-	_ = r.Header.Write(&b) // writes to a bytes.Buffer never fail
-	b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	if last {
-		b.WriteString("Connection: close\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	if c.reading {
+		_ = c.raw.SetReadDeadline(pastDeadline)
 	}
-	_, err := c.raw.Write(b.Bytes())
-	return err
 }
--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -94,9 +94,9 @@
 // Guards against a planned stop that never ends a connection whose caller always has a
 // request open, and cuts its last requests.
 func TestDrainEndsConnectionThatPipelinesWithoutBreak(t *testing.T) {
-	release := make(chan struct{}, 8)
+	release := map[string]chan struct{}{"/1": make(chan struct{}), "/2": make(chan struct{})}
 	r := startServer(t, Limits{}, func(ctx context.Context, request *Request) *Response {
-		<-release
+		<-release[request.URL.Path]
 		return echo(ctx, request)
 	})
 	c, reader := r.dial(t)
@@ -106,7 +106,7 @@
 	r.Drain()
 	for i := 1; i <= 2; i++ {
 		send(t, c, get(fmt.Sprint("/", i+2)))
-		release <- struct{}{}
+		close(release[fmt.Sprint("/", i)])
 		response, body := read(t, reader)
 		require.Equal(t, fmt.Sprint("/", i), body)
 		require.Equal(t, i == 2, response.Close, "the response to the last request that was read when the drain began closes the connection")
@@ -114,5 +114,4 @@
 	_, err := reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 	require.Empty(t, r.started, "requests behind the last one must not be handled")
-	close(release)
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,10 +20,18 @@
 	// bodies is the memory for the bodies of requests that are being read or handled.
 	bodies *bytebudget.Budget
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	draining bool
-	group    sync.WaitGroup
+	// work ends when Abort gives up the open requests.
+	work  context.Context
+	abort context.CancelCauseFunc
+	// draining is true once Drain was called.
+	draining atomic.Bool
+	// droppedPipelined counts the requests that a drain has not accepted because another
+	// one was open on their connection.
+	droppedPipelined atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	group sync.WaitGroup
 }
 
 // Config configures a Server.
@@ -43,7 +52,9 @@
 
 // New returns a server.
 func New(c Config) *Server {
-	return &Server{config: c, bodies: bytebudget.New(c.BodyBytes), conns: make(map[*conn]struct{})}
+	s := &Server{config: c, bodies: bytebudget.New(c.BodyBytes), conns: make(map[*conn]struct{})}
+	s.work, s.abort = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Serve accepts connections until the listener is closed or StopAccepting is called.
@@ -140,14 +151,34 @@
 func (s *Server) NearConnectionLimit() bool { return s.Connections() > s.config.MaxConnections/2 }
 
 // Drain closes idle connections at once, and the others after the responses to the
-// requests that have arrived. New connections may still send their first request.
+// requests that were accepted. Connections that have sent no request, or only a part of
+// one, may still send that request.
 func (s *Server) Drain() {
+	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
 	s.closeAllIdle()
 }
 
+// Abort gives up the open requests: it cancels the contexts of their handlers with the
+// given cause and refuses requests that are not complete. Their responses are still
+// written.
+func (s *Server) Abort(cause error) {
+	s.abort(cause)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.stopReading()
+	}
+}
+
+// Work returns the context from which those of handlers are derived.
+func (s *Server) Work() context.Context { return s.work }
+
+// DroppedPipelined returns the number of requests that a drain has not accepted because
+// another one was open on their connection.
+func (s *Server) DroppedPipelined() int64 { return s.droppedPipelined.Load() }
+
 // closeAllIdle closes the idle connections. s.mu must be held.
 func (s *Server) closeAllIdle() {
 	for c := range s.conns {
@@ -155,12 +186,6 @@
 	}
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 // BodyBytes returns the memory reserved for bodies of requests.
 func (s *Server) BodyBytes() int64 { return s.bodies.Used() }
 
@@ -171,7 +196,7 @@
 	return len(s.conns)
 }
 
-// OpenRequests returns the requests that were read and are not answered yet.
+// OpenRequests returns the accepted requests without a response.
 func (s *Server) OpenRequests() []*Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -289,3 +289,26 @@
 	require.Equal(t, 8, r.Connections())
 	close(release)
 }
+
+// Guards against an idle timeout that runs while a request is open, so that its response
+// is followed by the close of a connection that its caller uses again.
+func TestIdleTimeoutBeginsWithTheResponse(t *testing.T) {
+	release := make(chan struct{})
+	const idleTimeout = 100 * time.Millisecond
+	r := startServer(t, Limits{IdleTimeout: idleTimeout}, func(ctx context.Context, request *Request) *Response {
+		<-release
+		return echo(ctx, request)
+	})
+	c, reader := r.dial(t)
+	send(t, c, get("/1"))
+	<-r.started
+	<-time.After(2 * idleTimeout)
+	close(release)
+	response, _ := read(t, reader)
+	require.False(t, response.Close)
+	send(t, c, get("/2"))
+	_, body := read(t, reader)
+	require.Equal(t, "/2", body)
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
