Planned stop: send only what can be answered before it ends

Operators of a like system saw requests that came late in the grace period taken, passed on and cut, among them some that may not be repeated. It could happen here: a POST whose body became complete late was sent to its upstream whatever time was left.

A stopping host sends a request to an upstream only if its deadline passes before the stop ends, or if it was received in the first half of the grace period and four average service times are left. Others are refused at once with 503, Retry-After and Connection: close; they have not run.

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -15,8 +15,16 @@
 	// acceptAfterStop is how long a stopping host continues to accept connections:
 	// callers may use a cached lookup response with its address for lookupMaxAge.
 	acceptAfterStop = lookupMaxAge + 200*time.Millisecond
-	// stopMargin is the part of the grace period that is left for the exit.
-	stopMargin = 400 * time.Millisecond
+	// stopWorkPart is the part of the grace period after which a stop gives up open
+	// requests, stopExitPart the part after which the process ends. Between them the last
+	// responses are written.
+	stopWorkPart = 0.90
+	stopExitPart = 0.93
+	// stoppingRetryAfter is the Retry-After of a request that a stopping host refuses.
+	// Other hosts take it at once.
+	stoppingRetryAfter = 20 * time.Millisecond
+	// maxServiceTimes is the service time of slow requests as a multiple of the average.
+	maxServiceTimes = 4
 )
 
 // plannedStop is the state of a planned stop.
@@ -24,18 +32,39 @@
 	began time.Time
 	grace time.Duration
 	// read counts the requests that were read after the stop began, sentLate the attempts
-	// that were sent after half of the grace period.
-	read, sentLate atomic.Int64
+	// that were sent after half of the grace period, refused the requests that could not
+	// be answered in time.
+	read, sentLate, refused atomic.Int64
 }
 
 // isLate reports whether more than half of the grace period has passed.
 func (s *plannedStop) isLate(now time.Time) bool { return now.Sub(s.began) > s.grace/2 }
 
+// workEnds returns when the stop gives up open requests.
+func (s *plannedStop) workEnds() time.Time { return s.at(stopWorkPart) }
+
+// at returns the time at which a part of the grace period has passed.
+func (s *plannedStop) at(part float64) time.Time {
+	return s.began.Add(time.Duration(part * float64(s.grace)))
+}
+
+// allowsAttempt reports whether a request may be sent to an upstream: either its
+// deadline passes before the stop gives up, or it was received early and the time left
+// is enough for a slow request. serviceTime is the average time of an answer; 0 if
+// unknown.
+func (s *plannedStop) allowsAttempt(now, received, deadline time.Time, serviceTime time.Duration) bool {
+	if !deadline.After(s.workEnds()) {
+		return true
+	}
+	return !s.isLate(received) && serviceTime > 0 && s.workEnds().Sub(now) >= maxServiceTimes*serviceTime
+}
+
 func (e *Edge) isStopping() bool { return e.stop.Load() != nil }
 
 // drain performs a planned stop: it removes the host from lookup responses, reports
 // it as not ready, closes connections after their responses, stops accepting, and
-// waits for requests in flight.
+// waits for open requests. It gives up those that remain near the end of the grace
+// period.
 func (e *Edge) drain() {
 	stop := &plannedStop{began: time.Now(), grace: e.Settings.Bounds.StopGrace}
 	e.stop.Store(stop)
@@ -47,16 +76,24 @@
 	if err := e.server.StopAccepting(e.listeners.callers.(*net.TCPListener)); err != nil {
 		e.log.Warn().Err(err).Msg("closing the callers' listener")
 	}
-	remaining := stop.grace - stopMargin - time.Since(stop.began)
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
-	defer cancel()
-	e.server.Wait(ctx)
-	cut := e.server.OpenRequests()
-	for _, r := range cut {
+	e.waitUntil(stop.workEnds())
+	givenUp := e.server.OpenRequests()
+	for _, r := range givenUp {
 		e.logUnanswered(r, &StopEndedError{})
 	}
+	e.server.Abort(&StopEndedError{})
+	e.waitUntil(stop.at(stopExitPart))
 	e.log.Info().Int("connections", e.server.Connections()).Int64("read", stop.read.Load()).Int64("sent_late", stop.sentLate.Load()).
-		Int("cut", len(cut)).Dur("took", time.Since(stop.began)).Msg("planned stop ends")
+		Int64("refused", stop.refused.Load()).Int64("dropped_pipelined", e.server.DroppedPipelined()).Int("given_up", len(givenUp)).
+		Dur("took", time.Since(stop.began)).Msg("planned stop ends")
+}
+
+// waitUntil waits until all connections of callers are closed, at most until the given
+// time.
+func (e *Edge) waitUntil(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	e.server.Wait(ctx)
 }
 
 // StopEndedError reports a request that a planned stop ended.
@@ -64,7 +101,8 @@
 
 func (*StopEndedError) Error() string { return "the planned stop ended first" }
 
-// logUnanswered counts and logs a request whose connection ends without its response.
+// logUnanswered counts and logs a request that ends without the response of its upstream,
+// because its connection or a planned stop has ended.
 func (e *Edge) logUnanswered(r *ingress.Request, cause error) {
 	e.hostMetrics.count("requests.unanswered")
 	if !e.logSink.Allow(logsink.Unanswered) {
@@ -75,5 +113,5 @@
 	if stop := e.stop.Load(); stop != nil {
 		line = line.Dur("after_stop", time.Since(stop.began)).Dur("received_after_stop", r.Received.Sub(stop.began))
 	}
-	line.Msg("request ends without a response")
+	line.Msg("request given up")
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -78,8 +78,8 @@
 	outcome := "panic"
 	defer func() {
 		if value := recover(); value != nil {
-			// The request may have run, so its connection is closed without a response.
-			response = &ingress.Response{}
+			// The request may have run.
+			response = ingress.Refuse(http.StatusBadGateway, 0)
 			e.log.Error().Str("request", r.fields.ID).Any("panic", value).Bytes("stack", debug.Stack()).Msg("request handler panicked")
 		}
 		r.recordRequest(response, outcome)
@@ -117,7 +117,7 @@
 	if !r.route.Idempotent {
 		// An attempt of a request that may run only once is not cancelled when the caller
 		// disconnects. The caller is checked before each attempt instead.
-		attemptCtx, stop := context.WithDeadline(context.Background(), r.deadline)
+		attemptCtx, stop := context.WithDeadline(r.e.server.Work(), r.deadline)
 		defer stop()
 		return r.attempts(ctx, attemptCtx)
 	}
@@ -237,12 +237,20 @@
 // pick selects the upstream of the next attempt. It returns a response if the
 // request ends instead.
 func (r *request) pick(callerCtx context.Context) (*ingress.Response, string) {
-	if callerCtx.Err() == context.Canceled {
+	if callerLeft(callerCtx) {
 		return &ingress.Response{}, "caller_left"
 	}
 	if r.timeLeft() < minTimeLeft {
 		return r.failure()
 	}
+	if stop := r.e.stop.Load(); stop != nil && !stop.allowsAttempt(time.Now(), r.in.Received, r.deadline, r.e.steering.ServiceTime(r.service)) {
+		stop.refused.Add(1)
+		if r.mayHaveRun {
+			return r.failure()
+		}
+		r.refund()
+		return ingress.Refuse(http.StatusServiceUnavailable, stoppingRetryAfter), "stopping"
+	}
 	choice, refusal := r.e.steering.Pick(r.e.now(), steering.Request{
 		Service:        r.service,
 		Affinity:       steering.HashObject(string(r.service) + "/" + r.affinityKey()),
@@ -261,6 +269,11 @@
 	return ingress.Refuse(http.StatusServiceUnavailable, max(capacityRetryAfter, choice.AvailableIn)), refusal.String()
 }
 
+// callerLeft reports whether a context ended because the caller disconnected.
+func callerLeft(callerCtx context.Context) bool {
+	return errors.Is(context.Cause(callerCtx), context.Canceled)
+}
+
 // affinityKey returns the key whose requests prefer the same upstream: the object
 // that the caller names on a sticky route, else the request's own ID.
 func (r *request) affinityKey() string {
@@ -289,6 +302,8 @@
 	case !r.mayHaveRun:
 		r.refund()
 		return ingress.Refuse(http.StatusServiceUnavailable, capacityRetryAfter), "not_run"
+	case r.e.server.Work().Err() != nil:
+		return ingress.Refuse(http.StatusBadGateway, 0), "stopped"
 	case r.last.Outcome == upstream.Cancelled:
 		return &ingress.Response{}, "caller_left"
 	case r.last.Outcome == upstream.TimedOut:
--- a/steering/table.go
+++ b/steering/table.go
@@ -430,6 +430,18 @@
 	return limited
 }
 
+// ServiceTime returns the average time in which upstreams of a service answer; 0 if it
+// is unknown.
+func (t *Table) ServiceTime(service fleet.Pool) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.services[service]
+	if p == nil {
+		return 0
+	}
+	return time.Duration(p.serviceTime * float64(time.Second))
+}
+
 // UpstreamCount returns the number of upstreams in the table.
 func (t *Table) UpstreamCount() int {
 	t.mu.Lock()
