Edge: signals during the start don't end the process

What callers saw: connections that the kernel had accepted were reset when a SIGHUP or SIGTERM came between the exec and the end of the start.

Cause: cmd/catkinspring installed its handlers after it had read the settings and bound the listeners; until then both signals have their default action. The handlers also stayed installed for less time than the log sink, so that a second SIGTERM at the end of a stop could take the last log lines with it.

Evidence: TestSignalDuringStartDoesNotEndTheProcess holds a real process in its start with a settings file that is a pipe.

Why it works: the handlers are the first thing that the command installs, and a SIGTERM that came early starts the planned stop as soon as the host runs. What remains are the milliseconds of the runtime and of the command line's parser.

--- a/cmd/catkinspring/edge.go
+++ b/cmd/catkinspring/edge.go
@@ -32,14 +32,18 @@
 	if file == "" {
 		file = platform.SettingsFile()
 	}
+	if c.Check {
+		return checkEdgeSettings(console, file)
+	}
+	// A signal that arrives during the start would otherwise end the process.
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := platform.LoadSettings(file)
 	if err != nil {
 		return err
 	}
-	if c.Check {
-		_, err := fmt.Fprintf(console.out, "%s: no errors\n", file)
-		return err
-	}
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMegabyte) * (1 << 20)))
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	sink := logsink.New(os.Stdout)
@@ -56,19 +60,23 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		for range hangup {
 			reportSettingsChange(log, file, settings)
 		}
 	}()
-	e.Run(ctx)
+	e.Run(stop)
 	return nil
 }
 
+func checkEdgeSettings(console *console, file string) error {
+	if _, err := platform.LoadSettings(file); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(console.out, "%s: no errors\n", file)
+	return err
+}
+
 // reportSettingsChange logs whether the settings file has changed. All settings are
 // fixed for the lifetime of a process: its addresses, location and limits. The
 // process keeps its settings, so that no request is interrupted, and changes take
--- /dev/null
+++ b/cmd/catkinspring/signals_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// commandVariable makes the test binary run the command line that it contains.
+const commandVariable = "CATKINSPRING_TEST_COMMAND"
+
+func TestMain(m *testing.M) {
+	if command := os.Getenv(commandVariable); command != "" {
+		os.Exit(run(strings.Fields(command), os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// freeAddresses returns addresses on loopback that no process listens on.
+func freeAddresses(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var list []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return list
+}
+
+// edgeProcess is a process of `catkinspring edge` whose store is not reachable.
+type edgeProcess struct {
+	*exec.Cmd
+	callers string
+	// settings is the settings file, content its content.
+	settings, content string
+	// log reads its log lines.
+	log    *bufio.Reader
+	output *os.File
+}
+
+func newEdgeProcess(t *testing.T) *edgeProcess {
+	t.Helper()
+	a := freeAddresses(t, 6)
+	if a[4].Port() > a[5].Port() {
+		a[4], a[5] = a[5], a[4]
+	}
+	p := &edgeProcess{
+		callers:  a[0].String(),
+		settings: filepath.Join(t.TempDir(), "node.toml"),
+		content: fmt.Sprintf(`NodeName = "h-1"
+Ip = "127.0.0.1"
+Zone = "z"
+Region = "r"
+InternalPorts = [%d,%d]
+Bounds = ["Grace=2s"]
+[Zones]
+z = "r"
+[Listen]
+Public = "%s"
+Readiness = "%s"
+Directory = "%s"
+[Limits]
+MemoryMb = 256
+MaxFds = 4096
+[Platform]
+Address = "%s"
+`, a[4].Port(), a[5].Port(), a[0], a[1], a[2], a[3]),
+	}
+	executable, err := os.Executable()
+	require.NoError(t, err)
+	p.Cmd = exec.Command(executable)
+	p.Env = append(os.Environ(), commandVariable+"=edge --settings="+p.settings)
+	p.Stderr = os.Stderr
+	return p
+}
+
+func (p *edgeProcess) start(t *testing.T) {
+	t.Helper()
+	out, in, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = out.Close() })
+	p.Stdout = in
+	require.NoError(t, p.Start())
+	require.NoError(t, in.Close())
+	require.NoError(t, out.SetReadDeadline(time.Now().Add(time.Minute)))
+	p.log, p.output = bufio.NewReader(out), out
+	t.Cleanup(func() {
+		if p.ProcessState == nil {
+			_ = p.Process.Kill()
+			_ = p.Wait()
+		}
+	})
+}
+
+// awaitLine reads log lines up to one with the message.
+func (p *edgeProcess) awaitLine(t *testing.T, message string) {
+	t.Helper()
+	for {
+		line, err := p.log.ReadString('\n')
+		require.NoError(t, err, "the log ended before %q", message)
+		if strings.Contains(line, `"message":"`+message+`"`) {
+			return
+		}
+	}
+}
+
+func (p *edgeProcess) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	require.NoError(t, p.Process.Signal(s))
+}
+
+// halfSentRequest sends a request of which half of the body is missing. The returned
+// function sends the rest and reads the response.
+func (p *edgeProcess) halfSentRequest(t *testing.T) (finish func() *http.Response) {
+	t.Helper()
+	c, err := net.Dial("tcp", p.callers)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+	require.NoError(t, err)
+	return func() *http.Response {
+		_, err := io.WriteString(c, "dy")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		return response
+	}
+}
+
+// Guards against signals that end a process without a planned stop while it starts.
+func TestSignalDuringStartDoesNotEndTheProcess(t *testing.T) {
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		t.Run(s.String(), func(t *testing.T) {
+			t.Parallel()
+			p := newEdgeProcess(t)
+			// The process waits for the content of its settings file.
+			require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+			p.start(t)
+			file, err := os.OpenFile(p.settings, os.O_WRONLY, 0)
+			require.NoError(t, err)
+			p.signal(t, s)
+			_, err = io.WriteString(file, p.content)
+			require.NoError(t, err)
+			require.NoError(t, file.Close())
+			p.awaitLine(t, "entry host started")
+			if s == syscall.SIGHUP {
+				p.signal(t, syscall.SIGTERM)
+			}
+			p.awaitLine(t, "entry host stopped")
+			require.NoError(t, p.Wait())
+		})
+	}
+}
+
+// Guards against further signals that end a planned stop before requests are answered.
+func TestSignalsDuringPlannedStopLoseNoRequest(t *testing.T) {
+	t.Parallel()
+	p := newEdgeProcess(t)
+	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
+	p.start(t)
+	p.awaitLine(t, "entry host started")
+	finish := p.halfSentRequest(t)
+	p.signal(t, syscall.SIGTERM)
+	p.awaitLine(t, "planned stop begins")
+	for range 20 {
+		p.signal(t, syscall.SIGHUP)
+		p.signal(t, syscall.SIGTERM)
+	}
+	require.Equal(t, http.StatusServiceUnavailable, finish().StatusCode)
+	p.awaitLine(t, "entry host stopped")
+	require.NoError(t, p.Wait())
+}
