Edge: a log without a reader doesn't end the process

What callers saw: all requests of a host were reset when the program that read its log ended, also during a planned stop.

Cause: a write to a standard output without a reader raises SIGPIPE, and the Go runtime ends the process for file descriptors 1 and 2 even though the log sink ignores failed writes.

Evidence: TestClosedStandardOutputDoesNotEndTheProcess closes the reader of a real process and stops it while half of a body has arrived.

Why it works: with SIGPIPE ignored the write fails with EPIPE, which the log sink already takes as a line that can't be reported.

--- a/cmd/catkinspring/edge.go
+++ b/cmd/catkinspring/edge.go
@@ -40,6 +40,8 @@
 	defer cancel()
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	// A log line that nobody reads any more would otherwise end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	settings, err := platform.LoadSettings(file)
 	if err != nil {
 		return err
--- a/cmd/catkinspring/signals_test.go
+++ b/cmd/catkinspring/signals_test.go
@@ -185,3 +185,18 @@
 	p.awaitLine(t, "entry host stopped")
 	require.NoError(t, p.Wait())
 }
+
+// Guards against a process that ends, with all its requests, because the reader of its
+// log has ended.
+func TestClosedStandardOutputDoesNotEndTheProcess(t *testing.T) {
+	t.Parallel()
+	p := newEdgeProcess(t)
+	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
+	p.start(t)
+	p.awaitLine(t, "entry host started")
+	require.NoError(t, p.output.Close())
+	finish := p.halfSentRequest(t)
+	p.signal(t, syscall.SIGTERM)
+	require.Equal(t, http.StatusServiceUnavailable, finish().StatusCode)
+	require.NoError(t, p.Wait())
+}
