Upstream: a long body that is read late isn't cut off

What callers saw: a request with a body larger than the upstream's receive buffer ended with 502 after 1.1 s, although the upstream was at work on it and the time was not up; an order could not be repeated.

Cause: TCP_USER_TIMEOUT (800 ms) ends a connection not only while sent data is unacknowledged, but also while the receive window is zero, even if the other machine acknowledges every window probe.

Why it works: while a long body is sent, the host itself watches the kernel's counters: data or two probes outstanding, and no acknowledgement for 800 ms. The timeout of the kernel stays for short requests, and where the system doesn't report the counters.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -224,6 +224,7 @@
 	written := make(chan error, 1)
 	head, body := e.encode()
 	sentWhole := true
+	var watch *silenceWatch
 	if body == nil {
 		if n, err := conn.Write(head); err != nil {
 			if n == 0 && e.ctx.Err() == nil {
@@ -234,6 +235,7 @@
 			sentWhole = false
 		}
 	} else {
+		watch = watchSilence(conn.Conn)
 		// An upstream may answer before it has read a long body.
 		go func() {
 			_, err := conn.Write(head)
@@ -244,6 +246,7 @@
 		}()
 	}
 	response, idleFor, err := e.read(conn)
+	silent := watch.end()
 	if body != nil {
 		select {
 		case writeErr := <-written:
@@ -257,6 +260,9 @@
 			err = withWriteTimeout(err, <-written)
 		}
 	}
+	if err != nil && silent && e.ctx.Err() == nil {
+		return Result{Outcome: Broken, Err: &SilentError{}, Unresponsive: true}, 0
+	}
 	if err != nil {
 		result := e.classifyError(err)
 		result.Rejected = rejected(err) || conn.limit.atStart() && errors.Is(err, io.ErrUnexpectedEOF)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -68,11 +65,7 @@
 // setUserTimeout sets unacknowledgedTimeout on a socket (TCP_USER_TIMEOUT). Keep-alive
 // probes do not detect an unresponsive machine while sent data is unacknowledged.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optionErr)
+	return setTimeout(c, unacknowledgedTimeout)
 }
 
 // take returns an idle connection that is still open and has received nothing, or nil.
