Ingress: a connection that is closed still delivers its last response

Callers that read slowly lost the end of a response when its connection was evicted or closed as idle, or 500 ms after its last response: a close resets a connection that has unread bytes, and the reset destroys what the kernel still holds for the caller. The server now keeps discarding what arrives while the caller has not acknowledged everything, at most for writeTimeout.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -109,18 +109,22 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
+	if !c.writeClosed && upstream.UnsentBytes(c.raw) > 0 {
+		c.closeWrite()
+	}
 	if c.writeClosed {
 		c.linger()
 	}
 }
 
-// linger discards what the caller still sends. Closing a connection with unread
-// bytes would reset it, and the caller might lose the last response.
+// linger discards what the caller still sends, at most until writeTimeout has passed or
+// the caller has the last response. Closing a connection with unread bytes would reset
+// it, and the caller might lose that response.
 func (c *conn) linger() {
 	for end := time.Now().Add(writeTimeout); ; {
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
 		_, err := io.Copy(io.Discard, c.raw)
-		if !isTimeout(err) || !hasUnsentBytes(c.raw) || time.Now().After(end) {
+		if !isTimeout(err) || upstream.UnsentBytes(c.raw) == 0 || time.Now().After(end) {
 			return
 		}
 	}
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // writeTimeout is the timeout for sending a response to a caller that reads slowly.
@@ -113,23 +110,3 @@
 	_, err := c.raw.Write(b.Bytes())
 	return err
 }
-
-// hasUnsentBytes reports whether the caller has not acknowledged all bytes that were
-// written. It is false where the system can't tell.
-func hasUnsentBytes(raw net.Conn) bool {
-	tcp, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unsent := 0
-	err = control.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
-			unsent = n
-		}
-	})
-	return err == nil && unsent > 0
-}
--- a/upstream/quiet.go
+++ b/upstream/quiet.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // IsIdle reports whether a connection is still open and has no unread bytes. Unread
@@ -24,3 +26,26 @@
 	})
 	return err == nil && (peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK)
 }
+
+// UnsentBytes returns the bytes written to a connection that the other machine has not
+// acknowledged; 0 if the system does not tell.
+func UnsentBytes(c net.Conn) int {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, countErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); countErr == nil {
+			unsent = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unsent
+}
