Ingress: notice a caller that leaves after sending more than its last request

A host went on with idempotent requests of a caller that had left, if the caller had sent anything behind the last request of its connection: only one byte was awaited. While a server drains, each pipelining caller does that. What arrives is now discarded until the connection ends.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -162,12 +162,11 @@
 }
 
 // watchForDisconnect cancels the accepted requests if the caller disconnects before
-// the last response.
+// the last response. What it sends behind the last request is discarded.
 func (c *conn) watchForDisconnect() {
-	c.limit.start(1, &HeaderTooLargeError{})
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, net.ErrClosed) {
+		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, net.ErrClosed) {
 			c.cancel()
 		}
 	}()
--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -115,3 +115,24 @@
 	require.ErrorIs(t, err, io.EOF)
 	require.Empty(t, r.started, "requests behind the last one must not be handled")
 }
+
+// Guards against work that goes on for a caller that has left, because it had sent further
+// requests behind the last one that was accepted.
+func TestDrainNoticesDisconnectOfCallerThatPipelines(t *testing.T) {
+	cancelled := make(chan struct{})
+	r := startServer(t, Limits{}, func(ctx context.Context, request *Request) *Response {
+		<-ctx.Done()
+		close(cancelled)
+		return &Response{}
+	})
+	r.Drain()
+	c, _ := r.dial(t)
+	send(t, c, get("/1"), get("/2"))
+	<-r.started
+	require.NoError(t, c.Close())
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the request goes on 5 s after its caller has left")
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -80,27 +80,39 @@
 	raw, rawErr := l.SyscallConn()
 	err = errors.Join(err, rawErr)
 	if rawErr == nil {
-		err = errors.Join(err, raw.Control(func(fd uintptr) {
-			for {
-				accepted, _, acceptErr := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-				if acceptErr != nil {
-					return // usually EAGAIN: the backlog is empty
-				}
-				s.startAccepted(accepted)
-			}
-		}))
+		var backlogErr error
+		err = errors.Join(err, raw.Control(func(fd uintptr) { backlogErr = s.acceptBacklog(int(fd)) }), backlogErr)
 	}
 	return errors.Join(err, l.Close())
 }
 
+// acceptBacklog serves the connections in the backlog of a listener.
+func (s *Server) acceptBacklog(listener int) error {
+	var failed error
+	for {
+		accepted, _, err := unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			failed = errors.Join(failed, s.startAccepted(accepted))
+		case errors.Is(err, unix.EAGAIN):
+			return failed
+		case !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.ECONNABORTED):
+			return errors.Join(failed, err)
+		}
+	}
+}
+
 // startAccepted serves a connection that was accepted by a system call.
-func (s *Server) startAccepted(fd int) {
+func (s *Server) startAccepted(fd int) error {
 	file := os.NewFile(uintptr(fd), "caller")
 	defer func() { _ = file.Close() }()
 	// FileConn duplicates the descriptor.
-	if raw, err := net.FileConn(file); err == nil {
-		s.startConn(raw)
+	raw, err := net.FileConn(file)
+	if err != nil {
+		return err
 	}
+	s.startConn(raw)
+	return nil
 }
 
 // acceptRetryInterval is the wait after a failed accept.
