Ingress: a drain answers what its callers sent before they were told to stop

- a response without Connection: close was written just before the drain began, and the caller's next request, an order perhaps, was read before the writer had noted the response: it was dropped as pipelined (TestDrainAcceptsRequestSentAfterResponseThatKeepsConnection)
- the stop ended between the accept of a connection and its first read (TestWaitIncludesConnectionThatServeHasJustAccepted)
- a request that a drain doesn't accept had no line (TestRequestDroppedByDrainIsReported)
- a caller that left behind a dropped or unreadable request, or behind a full queue, was not noticed, and its requests went on
- a burst of connections evicted the same idle one again and again, beyond the limit
- 100 Continue failed with the write deadline of an earlier response

Whether a response closes its connection is now decided before it is written, together with whether later requests are behind it.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -54,6 +54,9 @@
 	reading bool
 	// open holds the accepted requests without a response, in order.
 	open []*pendingRequest
+	// writing is the request whose response is being written, if the connection stays open
+	// after it.
+	writing *pendingRequest
 	// closing is true once no further request is accepted.
 	closing bool
 	// closeRequested is true while closeIfIdle waits for the reader to end.
@@ -146,14 +149,16 @@
 		}
 		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: request.Close}
 		if !c.accept(p) {
+			c.reportUnanswered(p, &NotAcceptedError{})
 			request.memory.Release()
+			c.watchForDisconnect()
 			return
 		}
 		go func() {
 			p.response <- c.server.config.Handler(c.ctx, request)
 			request.memory.Release()
 		}()
-		c.queue <- p
+		c.enqueue(p)
 		if p.last {
 			c.watchForDisconnect()
 			return
@@ -161,6 +166,30 @@
 	}
 }
 
+// enqueue appends a request to the queue. While the queue is full, it cancels the
+// accepted requests if the caller disconnects.
+func (c *conn) enqueue(p *pendingRequest) {
+	select {
+	case c.queue <- p:
+		return
+	default:
+	}
+	// The next bytes stay in the buffer, which holds no more than this.
+	c.limit.start(readBufferBytes+1, &HeaderTooLargeError{})
+	_ = c.raw.SetReadDeadline(time.Time{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		if err != nil && !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+			c.cancel()
+		}
+	}()
+	c.queue <- p
+	_ = c.raw.SetReadDeadline(pastDeadline)
+	<-watched
+}
+
 // watchForDisconnect cancels the accepted requests if the caller disconnects before
 // the last response. What it sends behind the last request is discarded.
 func (c *conn) watchForDisconnect() {
@@ -202,7 +231,7 @@
 		return &ClosingError{}
 	case c.closeRequested:
 		return c.raw.SetReadDeadline(pastDeadline)
-	case len(c.open) > 0:
+	case len(c.open) > 0 || c.writing != nil:
 		return c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
 	return c.raw.SetReadDeadline(c.lastUsed.Add(idleTimeout))
@@ -233,7 +262,7 @@
 		c.lastUsed = time.Now()
 		return false
 	}
-	if len(c.open) > 0 || !requested && time.Since(c.lastUsed) < idleTimeout {
+	if len(c.open) > 0 || c.writing != nil || !requested && time.Since(c.lastUsed) < idleTimeout {
 		return false
 	}
 	c.closing = true
@@ -250,7 +279,7 @@
 	c.reading = false
 	draining := c.server.draining.Load()
 	if c.closing || draining && len(c.open) > 0 {
-		if draining {
+		if draining && p.request != nil {
 			c.server.droppedPipelined.Add(1)
 		}
 		return false
@@ -264,15 +293,26 @@
 func (c *conn) remove(p *pendingRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+	c.removeOpen(p)
+	if c.writing == p {
+		c.writing = nil
+	}
 	c.lastUsed, c.used = time.Now(), true
 }
 
+// removeOpen removes a request from the open ones. c.mu must be held.
+func (c *conn) removeOpen(p *pendingRequest) {
+	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+}
+
 // openRequests returns the accepted requests without a response.
 func (c *conn) openRequests() []*Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	requests := make([]*Request, 0, len(c.open))
+	var requests []*Request
+	if c.writing != nil {
+		requests = append(requests, c.writing.request)
+	}
 	for _, p := range c.open {
 		if p.request != nil {
 			requests = append(requests, p.request)
@@ -295,13 +335,16 @@
 }
 
 // isIdle reports whether no request is open or arriving. c.mu must be held.
-func (c *conn) isIdle() bool { return len(c.open) == 0 && !c.reading && !c.closing }
+func (c *conn) isIdle() bool {
+	return len(c.open) == 0 && c.writing == nil && !c.reading && !c.closing
+}
 
-// idleFor returns how long the connection has been unused, and whether it is idle.
+// idleFor returns how long the connection has been unused, and whether it is idle and
+// was not asked to close yet.
 func (c *conn) idleFor(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.lastUsed), c.isIdle()
+	return now.Sub(c.lastUsed), c.isIdle() && !c.closeRequested
 }
 
 // stopReading interrupts the reading of a request that is not complete.
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -95,7 +95,8 @@
 	p := &pendingRequest{response: make(chan *Response, 1), last: true}
 	p.response <- Refuse(status, retryAfter)
 	if c.accept(p) {
-		c.queue <- p
+		c.enqueue(p)
+		c.watchForDisconnect()
 	}
 }
 
@@ -178,7 +179,7 @@
 
 // continueReader sends 100 Continue before the first read of a body.
 type continueReader struct {
-	conn io.Writer
+	conn net.Conn
 	body io.Reader
 	sent bool
 }
@@ -186,6 +187,9 @@
 func (r *continueReader) Read(p []byte) (int, error) {
 	if !r.sent {
 		r.sent = true
+		if err := r.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return 0, err
+		}
 		if _, err := io.WriteString(r.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +34,8 @@
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	group sync.WaitGroup
+	// serving waits for calls of Serve.
+	serving sync.WaitGroup
 }
 
 // Config configures a Server.
@@ -59,6 +63,8 @@
 
 // Serve accepts connections until the listener is closed or StopAccepting is called.
 func (s *Server) Serve(l net.Listener) error {
+	s.serving.Add(1)
+	defer s.serving.Done()
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -76,7 +82,8 @@
 // StopAccepting ends Serve, serves the connections that the kernel has already
 // accepted, and closes the listener. Closing it alone would reset them.
 func (s *Server) StopAccepting(l *net.TCPListener) error {
-	err := l.SetDeadline(time.Unix(1, 0))
+	err := l.SetDeadline(pastDeadline)
+	s.serving.Wait()
 	raw, rawErr := l.SyscallConn()
 	err = errors.Join(err, rawErr)
 	if rawErr == nil {
@@ -145,17 +152,22 @@
 // closeIdle closes the connection of a sample that has been idle for longest. s.mu
 // must be held.
 func (s *Server) closeIdle(now time.Time) bool {
-	var oldest *conn
-	longest, sampled := time.Duration(-1), 0
+	type candidate struct {
+		conn *conn
+		idle time.Duration
+	}
+	candidates := make([]candidate, 0, evictionSampleSize)
+	sampled := 0
 	for c := range s.conns {
-		if idle, ok := c.idleFor(now); ok && idle > longest {
-			oldest, longest = c, idle
+		if idle, ok := c.idleFor(now); ok {
+			candidates = append(candidates, candidate{c, idle})
 		}
 		if sampled++; sampled == evictionSampleSize {
 			break
 		}
 	}
-	return oldest != nil && oldest.closeIfIdle()
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.idle, a.idle) })
+	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.conn.closeIfIdle() })
 }
 
 // NearConnectionLimit reports whether more than half of MaxConnections are open.
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -16,6 +16,12 @@
 
 func (*ConnectionEndedError) Error() string { return "an earlier response ended the connection" }
 
+// NotAcceptedError reports a request that was read behind an open one of its connection
+// while the server drains, or behind the last response.
+type NotAcceptedError struct{}
+
+func (*NotAcceptedError) Error() string { return "not accepted on a connection that is being closed" }
+
 // writeResponses writes the responses in the order of the requests. A response that
 // closes the connection is the last one: later requests get no response.
 func (c *conn) writeResponses() {
@@ -64,19 +70,17 @@
 // server drains or the response requests it, that is once no other request is open,
 // because pipelined requests may already be running.
 func (c *conn) closesAfter(p *pendingRequest, response *Response) bool {
-	if p.last {
-		return true
-	}
-	if !response.Close && !c.server.draining.Load() {
-		return false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.open) > 1 {
-		return false
+	if p.last || len(c.open) == 1 && (response.Close || c.server.draining.Load()) {
+		c.closing = true
+		return true
 	}
-	c.closing = true
-	return true
+	// The caller may send its next request as soon as it has the response, and that one
+	// is not behind an open request.
+	c.removeOpen(p)
+	c.writing = p
+	return false
 }
 
 // closeWrite closes the sending side, stops the reader and cancels the requests that
