Planned stop: an order that becomes whole late is late, however fast its service is

Found by the review of the fix: a POST whose header began before the SIGTERM and whose body was complete 3.2 s after it was sent to its upstream and given up with 502, if other requests of the service had been fast. Lateness is now measured when the request would be sent, and at most 3 s count as early, however long the grace period is.

Requests whose responses are being written at the end of a stop are no longer reported as given up, but as cut, if the exit does cut them; lines over the budget are counted before the process ends; a request that is not complete then is refused in any case; what a caller sends behind its last request is discarded up to 1 MiB.

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -23,6 +23,11 @@
 	// stoppingRetryAfter is the Retry-After of a request that a stopping host refuses.
 	// Other hosts take it at once.
 	stoppingRetryAfter = 20 * time.Millisecond
+	// earlyPart and earlyTime bound, as a part of the grace period and as a duration, the
+	// time after the begin of a stop in which a request may be sent to an upstream that
+	// may not answer before the stop ends.
+	earlyPart = 0.5
+	earlyTime = 3 * time.Second
 	// maxServiceTimes is the service time of slow requests as a multiple of the average.
 	maxServiceTimes = 4
 )
@@ -32,13 +37,14 @@
 	began time.Time
 	grace time.Duration
 	// read counts the requests that were read after the stop began, sentLate the attempts
-	// that were sent after half of the grace period, refused the requests that could not
-	// be answered in time.
+	// that were sent late, refused the requests that could not be answered in time.
 	read, sentLate, refused atomic.Int64
 }
 
-// isLate reports whether more than half of the grace period has passed.
-func (s *plannedStop) isLate(now time.Time) bool { return now.Sub(s.began) > s.grace/2 }
+// isLate reports whether the early part of the stop has passed.
+func (s *plannedStop) isLate(now time.Time) bool {
+	return now.After(s.at(earlyPart)) || now.Sub(s.began) > earlyTime
+}
 
 // workEnds returns when the stop gives up open requests.
 func (s *plannedStop) workEnds() time.Time { return s.at(stopWorkPart) }
@@ -49,14 +55,13 @@
 }
 
 // allowsAttempt reports whether a request may be sent to an upstream: either its
-// deadline passes before the stop gives up, or it was received early and the time left
-// is enough for a slow request. serviceTime is the average time of an answer; 0 if
-// unknown.
-func (s *plannedStop) allowsAttempt(now, received, deadline time.Time, serviceTime time.Duration) bool {
+// deadline passes before the stop gives up, or it is early and the time left is enough
+// for a slow request. serviceTime is the average time of an answer; 0 if unknown.
+func (s *plannedStop) allowsAttempt(now, deadline time.Time, serviceTime time.Duration) bool {
 	if !deadline.After(s.workEnds()) {
 		return true
 	}
-	return !s.isLate(received) && serviceTime > 0 && s.workEnds().Sub(now) >= maxServiceTimes*serviceTime
+	return !s.isLate(now) && serviceTime > 0 && s.workEnds().Sub(now) >= maxServiceTimes*serviceTime
 }
 
 func (e *Edge) isStopping() bool { return e.stop.Load() != nil }
@@ -83,8 +88,13 @@
 	}
 	e.server.Abort(&StopEndedError{})
 	e.waitUntil(stop.at(stopExitPart))
+	unwritten := e.server.UnwrittenRequests()
+	for _, r := range unwritten {
+		e.logUnanswered(r, &ResponseCutError{})
+	}
+	e.logOmittedLines()
 	e.log.Info().Int("connections", e.server.Connections()).Int64("read", stop.read.Load()).Int64("sent_late", stop.sentLate.Load()).
-		Int64("refused", stop.refused.Load()).Int64("dropped_pipelined", e.server.DroppedPipelined()).Int("given_up", len(givenUp)).
+		Int64("refused", stop.refused.Load()).Int64("dropped_pipelined", e.server.DroppedPipelined()).Int("given_up", len(givenUp)).Int("cut", len(unwritten)).
 		Dur("took", time.Since(stop.began)).Msg("planned stop ends")
 }
 
@@ -101,6 +111,12 @@
 
 func (*StopEndedError) Error() string { return "the planned stop ended first" }
 
+// ResponseCutError reports a request whose response was not written whole when the
+// process ended.
+type ResponseCutError struct{}
+
+func (*ResponseCutError) Error() string { return "the process ends before the response is written" }
+
 // logUnanswered counts and logs a request that ends without the response of its upstream,
 // because its connection or a planned stop has ended.
 func (e *Edge) logUnanswered(r *ingress.Request, cause error) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -258,10 +258,15 @@
 			removed, changed := e.steering.Expire(e.now())
 			e.logUpstreams(removed, changed, 0)
 			e.upstream.CloseExpired(at)
-			if omitted := e.logSink.TakeOmitted(); omitted != (logsink.Omitted{}) {
-				e.log.Info().Int("successes", omitted.Successes).Int("failures", omitted.Failures).
-					Int("unanswered", omitted.Unanswered).Int("dropped", omitted.Dropped).Msg("lines left out")
-			}
+			e.logOmittedLines()
 		}
 	}
 }
+
+// logOmittedLines logs how many lines were left out since the last call.
+func (e *Edge) logOmittedLines() {
+	if omitted := e.logSink.TakeOmitted(); omitted != (logsink.Omitted{}) {
+		e.log.Info().Int("successes", omitted.Successes).Int("failures", omitted.Failures).
+			Int("unanswered", omitted.Unanswered).Int("dropped", omitted.Dropped).Msg("lines left out")
+	}
+}
--- a/edge/request.go
+++ b/edge/request.go
@@ -243,7 +243,7 @@
 	if r.timeLeft() < minTimeLeft {
 		return r.failure()
 	}
-	if stop := r.e.stop.Load(); stop != nil && !stop.allowsAttempt(time.Now(), r.in.Received, r.deadline, r.e.steering.ServiceTime(r.service)) {
+	if stop := r.e.stop.Load(); stop != nil && !stop.allowsAttempt(time.Now(), r.deadline, r.e.steering.ServiceTime(r.service)) {
 		stop.refused.Add(1)
 		if r.mayHaveRun {
 			return r.failure()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -24,6 +24,9 @@
 	// lingerTime is how long linger waits for the caller to read the last response and
 	// to close its side.
 	lingerTime = 500 * time.Millisecond
+	// maxDiscardedBytes bounds what is read behind the last request of a connection while
+	// that request runs.
+	maxDiscardedBytes = 1 << 20
 )
 
 // keepAlive detects callers whose machine is unresponsive. The kernel resets their
@@ -54,9 +57,10 @@
 	reading bool
 	// open holds the accepted requests without a response, in order.
 	open []*pendingRequest
-	// writing is the request whose response is being written, if the connection stays open
-	// after it.
+	// writing is the request whose response is being written.
 	writing *pendingRequest
+	// readingStopped is true once incomplete requests are refused.
+	readingStopped bool
 	// closing is true once no further request is accepted.
 	closing bool
 	// closeRequested is true while closeIfIdle waits for the reader to end.
@@ -195,7 +199,7 @@
 func (c *conn) watchForDisconnect() {
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
-		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, net.ErrClosed) {
+		if _, err := io.CopyN(io.Discard, c.raw, maxDiscardedBytes); err != nil && !errors.Is(err, net.ErrClosed) {
 			c.cancel()
 		}
 	}()
@@ -310,9 +314,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var requests []*Request
-	if c.writing != nil {
-		requests = append(requests, c.writing.request)
-	}
 	for _, p := range c.open {
 		if p.request != nil {
 			requests = append(requests, p.request)
@@ -321,6 +322,17 @@
 	return requests
 }
 
+// unwritten returns the requests whose responses are not written.
+func (c *conn) unwritten() []*Request {
+	requests := c.openRequests()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing != nil && c.writing.request != nil {
+		requests = append(requests, c.writing.request)
+	}
+	return requests
+}
+
 // closeIfIdle closes a connection without open requests, and reports whether it did.
 // A request that has arrived but was not read counts as open.
 func (c *conn) closeIfIdle() bool {
@@ -351,7 +363,19 @@
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readingStopped = true
 	if c.reading {
 		_ = c.raw.SetReadDeadline(pastDeadline)
 	}
 }
+
+// setReadDeadline sets the deadline for the rest of a request, unless stopReading was
+// called.
+func (c *conn) setReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readingStopped {
+		deadline = pastDeadline
+	}
+	return c.raw.SetReadDeadline(deadline)
+}
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	received := time.Now()
-	if err := c.raw.SetReadDeadline(received.Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout))); err != nil {
+	if err := c.setReadDeadline(received.Add(orDefault(limits.HeaderTimeout, defaultHeaderTimeout))); err != nil {
 		return nil, err
 	}
 	parsed, err := http.ReadRequest(c.reader)
@@ -151,7 +151,7 @@
 	if r.ContentLength == 0 {
 		return nil, memory, nil
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, nil, err
 	}
 	c.limit.start(limit+maxFramingBytes, &http.MaxBytesError{Limit: limit})
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -231,6 +231,17 @@
 	return open
 }
 
+// UnwrittenRequests returns the requests whose responses are not written whole.
+func (s *Server) UnwrittenRequests() []*Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var unwritten []*Request
+	for c := range s.conns {
+		unwritten = append(unwritten, c.unwritten()...)
+	}
+	return unwritten
+}
+
 // closeIdleInterval is the interval in which Wait closes connections that have become
 // idle without a response, because their callers have sent nothing.
 const closeIdleInterval = 200 * time.Millisecond
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -72,15 +72,13 @@
 func (c *conn) closesAfter(p *pendingRequest, response *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p.last || len(c.open) == 1 && (response.Close || c.server.draining.Load()) {
-		c.closing = true
-		return true
-	}
+	closes := p.last || len(c.open) == 1 && (response.Close || c.server.draining.Load())
+	c.closing = c.closing || closes
 	// The caller may send its next request as soon as it has the response, and that one
 	// is not behind an open request.
 	c.removeOpen(p)
 	c.writing = p
-	return false
+	return closes
 }
 
 // closeWrite closes the sending side, stops the reader and cancels the requests that
