Planned stop: connections stay in use while look-up answers may be cached

Callers lost requests that crossed the close of an idle connection at the SIGTERM, though they had been told to keep it, and callers that pipeline lost what was behind an open request. Connections are now reused for one request as long as callers may hold a cached look-up answer with the host's address; each response to an only open request closes its connection. Then idle connections are closed, and no request behind an open one is accepted.

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -81,6 +81,7 @@
 	if err := e.server.StopAccepting(e.listeners.callers.(*net.TCPListener)); err != nil {
 		e.log.Warn().Err(err).Msg("closing the callers' listener")
 	}
+	e.server.EndReuse()
 	e.waitUntil(stop.workEnds())
 	givenUp := e.server.OpenRequests()
 	for _, r := range givenUp {
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -273,22 +273,22 @@
 	return true
 }
 
-// accept decides whether a request that was read is handled. While the server drains,
-// a request is accepted only if no other one is open on its connection, and then it is
-// the last one; requests behind a response that closes the connection count as not
-// sent.
+// accept decides whether a request that was read is handled. Once connections are not
+// reused any more, it is accepted only if no other one is open on its connection, and
+// then it is the last one; requests behind a response that closes the connection count
+// as not sent.
 func (c *conn) accept(p *pendingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	draining := c.server.draining.Load()
-	if c.closing || draining && len(c.open) > 0 {
-		if draining && p.request != nil {
+	reuseEnded := c.server.reuseEnded.Load()
+	if c.closing || reuseEnded && len(c.open) > 0 {
+		if c.server.draining.Load() && p.request != nil {
 			c.server.droppedPipelined.Add(1)
 		}
 		return false
 	}
-	p.last = p.last || draining
+	p.last = p.last || reuseEnded
 	c.open = append(c.open, p)
 	return true
 }
--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -37,6 +37,7 @@
 	require.Eventually(t, func() bool { return !upstream.IsIdle(raw) }, 5*time.Second, time.Millisecond)
 	require.False(t, c.closeIfIdle())
 	s.Drain()
+	s.EndReuse()
 	c.serve()
 	answer, err := io.ReadAll(caller)
 	require.NoError(t, err)
@@ -51,6 +52,7 @@
 	c, reader := r.dial(t)
 	require.Eventually(t, func() bool { return r.Connections() == 1 }, 5*time.Second, time.Millisecond)
 	r.Drain()
+	r.EndReuse()
 	send(t, c, get("/a"))
 	response, body := read(t, reader)
 	require.Equal(t, "/a", body)
@@ -81,6 +83,7 @@
 		conns = append(conns, c)
 	}
 	s.Drain()
+	s.EndReuse()
 	require.NoError(t, s.StopAccepting(l))
 	for i, c := range conns {
 		answer, err := io.ReadAll(c)
@@ -104,6 +107,7 @@
 	<-r.started
 	<-r.started
 	r.Drain()
+	r.EndReuse()
 	for i := 1; i <= 2; i++ {
 		send(t, c, get(fmt.Sprint("/", i+2)))
 		close(release[fmt.Sprint("/", i)])
@@ -126,6 +130,7 @@
 		return &Response{}
 	})
 	r.Drain()
+	r.EndReuse()
 	c, _ := r.dial(t)
 	send(t, c, get("/1"), get("/2"))
 	<-r.started
@@ -136,3 +141,21 @@
 		require.Fail(t, "the request goes on 5 s after its caller has left")
 	}
 }
+
+// Guards against a planned stop that leaves idle connections open until it ends.
+func TestEndReuseClosesIdleConnectionsAtOnce(t *testing.T) {
+	r := startServer(t, Limits{}, echo)
+	c, reader := r.dial(t)
+	send(t, c, get("/1"))
+	response, _ := read(t, reader)
+	require.False(t, response.Close)
+	r.Drain()
+	r.EndReuse()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r.Wait(ctx)
+	require.NoError(t, ctx.Err())
+	require.Zero(t, r.Connections())
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/ingress/edges_test.go
+++ b/ingress/edges_test.go
@@ -28,6 +28,7 @@
 	<-r.started
 	<-r.started
 	r.Drain()
+	r.EndReuse()
 	send(t, c, get("/3"))
 	require.Eventually(t, func() bool { return r.DroppedPipelined() == 1 }, 5*time.Second, time.Millisecond)
 	require.NoError(t, c.Close())
@@ -98,6 +99,7 @@
 	require.False(t, response.Close)
 	<-started
 	s.Drain()
+	s.EndReuse()
 	send(t, c, "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\norder")
 	require.Eventually(t, func() bool { return len(started) == 1 || s.DroppedPipelined() == 1 }, 5*time.Second, time.Millisecond)
 	close(paused.resume)
@@ -179,6 +181,7 @@
 	send(t, c, get("/1"))
 	<-started
 	s.Drain()
+	s.EndReuse()
 	send(t, c, get("/2"))
 	require.Eventually(t, func() bool { return s.DroppedPipelined() == 1 }, 5*time.Second, time.Millisecond)
 	select {
@@ -246,6 +249,7 @@
 	go func() {
 		defer close(ended)
 		s.Drain()
+		s.EndReuse()
 		_ = s.StopAccepting(l.TCPListener)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -25,8 +25,8 @@
 	// work ends when Abort gives up the open requests.
 	work  context.Context
 	abort context.CancelCauseFunc
-	// draining is true once Drain was called.
-	draining atomic.Bool
+	// draining is true once Drain was called, reuseEnded once EndReuse was.
+	draining, reuseEnded atomic.Bool
 	// droppedPipelined counts the requests that a drain has not accepted because another
 	// one was open on their connection.
 	droppedPipelined atomic.Int64
@@ -174,13 +174,15 @@
 // Responses after which callers do not reuse the connection should then close it.
 func (s *Server) NearConnectionLimit() bool { return s.Connections() > s.config.MaxConnections/2 }
 
-// Drain closes idle connections at once, and the others after the responses to the
-// requests that were accepted. Connections that have sent no request, or only a part of
-// one, may still send that request.
-func (s *Server) Drain() {
-	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Drain closes each connection after the response to its only open request. Callers may
+// still use their connections until EndReuse is called: they may not know yet that the
+// host leaves, and a request may be on its way.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// EndReuse closes idle connections, and each other one after its open requests: a request
+// that is read behind an open one is not accepted. Drain must have been called.
+func (s *Server) EndReuse() {
+	s.reuseEnded.Store(true)
 	s.closeAllIdle()
 }
 
@@ -203,8 +205,10 @@
 // another one was open on their connection.
 func (s *Server) DroppedPipelined() int64 { return s.droppedPipelined.Load() }
 
-// closeAllIdle closes the idle connections. s.mu must be held.
+// closeAllIdle closes the idle connections.
 func (s *Server) closeAllIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.closeIfIdle()
 	}
@@ -243,11 +247,11 @@
 }
 
 // closeIdleInterval is the interval in which Wait closes connections that have become
-// idle without a response, because their callers have sent nothing.
+// idle.
 const closeIdleInterval = 200 * time.Millisecond
 
-// Wait waits until all connections are closed or the context ends. Drain must have
-// been called.
+// Wait waits until all connections are closed or the context ends. EndReuse must have been
+// called.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
@@ -257,15 +261,13 @@
 	ticker := time.NewTicker(closeIdleInterval)
 	defer ticker.Stop()
 	for {
+		s.closeAllIdle()
 		select {
 		case <-done:
 			return
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.mu.Lock()
-			s.closeAllIdle()
-			s.mu.Unlock()
 		}
 	}
 }
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -44,8 +44,6 @@
 		if done || closesAfter {
 			done = true
 			c.closeWrite()
-		} else if c.server.draining.Load() {
-			c.closeIfIdle()
 		}
 	}
 }
@@ -72,7 +70,8 @@
 func (c *conn) closesAfter(p *pendingRequest, response *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	closes := p.last || len(c.open) == 1 && (response.Close || c.server.draining.Load())
+	requested := response.Close || c.server.draining.Load()
+	closes := p.last || requested && len(c.open) == 1 && (!c.reading || c.server.reuseEnded.Load())
 	c.closing = c.closing || closes
 	// The caller may send its next request as soon as it has the response, and that one
 	// is not behind an open request.
