Serve: a shutdown answers the listener's backlog

What callers saw: connections that were opened at the end of a planned stop of `catkinspring serve`, with their request sent, were reset. Cause: the shutdown of the HTTP server closes the listener; the kernel then resets every connection that it has accepted and the process has not. The server also closes kept connections without a look at what has arrived on them. `edge` had the same fault; its fix is ingress.StopAccepting. TestShutdownKeepsConnectionsWithUnreadRequests tests the new code only. Why it works: the gateway ends Accept by a deadline instead of closing the listener, takes what the backlog holds, and closes the listener then. The loop over the backlog moves from ingress to internal/backlog, which both use.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -91,8 +92,15 @@
 // Gateway serves callers.
 type Gateway struct {
 	Config
-	server  *fasthttp.Server
-	metrics *gatewayMetrics
+	server      *fasthttp.Server
+	metrics     *gatewayMetrics
+	connections *connections
+
+	mu sync.Mutex
+	// listener is nil before Serve. stopping is true once Serve must not accept more
+	// than the listener's backlog.
+	listener *boundedListener
+	stopping bool
 }
 
 // New returns a Gateway.
@@ -121,7 +129,7 @@
 	if config.Draining == nil {
 		config.Draining = func() bool { return false }
 	}
-	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry)}
+	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry), connections: newConnections()}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
 		StrictRouting:                true,
@@ -144,24 +152,21 @@
 	g.server.Handler = func(ctx *fasthttp.RequestCtx) { g.serve(ctx, router) }
 	g.server.ErrorHandler = g.parseError
 	g.server.HeaderReceived = g.headerReceived
+	g.server.ConnState = trackPhase
 	g.server.SecureErrorLogMessage = true
-	g.server.CloseOnShutdown = true
 	return g
 }
 
 // Serve answers callers on a listener until Shutdown, after which it returns nil.
 func (g *Gateway) Serve(listener net.Listener) error {
-	bounded := newBoundedListener(listener, g.MaxConnections, g.overloadedResponse())
-	g.metrics.registerConnectionGauge(bounded.open.Load)
+	bounded := &boundedListener{Listener: listener, open: g.connections, maxOpen: g.MaxConnections, refusal: g.overloadedResponse()}
+	g.metrics.registerConnectionGauge(func() int64 { return int64(g.connections.count()) })
+	if err := g.listen(bounded); err != nil {
+		return err
+	}
 	return g.server.Serve(bounded)
 }
 
-// Shutdown stops accepting connections, closes idle ones and waits until
-// running requests have been answered or the context ends.
-func (g *Gateway) Shutdown(ctx context.Context) error {
-	return g.server.ShutdownWithContext(ctx)
-}
-
 // leaseValid reports whether the host's lease allows it to serve keyed traffic.
 func (g *Gateway) leaseValid() bool {
 	return g.Clock.Now().Instant < g.Lease.ValidUntil()
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/problem"
+)
+
+const openRequest = "GET /open HTTP/1.1\r\nHost: g\r\n\r\n"
+
+// lateListener accepts nothing before it is told to stop, as a busy process does.
+type lateListener struct {
+	*net.TCPListener
+	once    sync.Once
+	stopped chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.stopped
+	return l.TCPListener.Accept()
+}
+
+func (l *lateListener) SetDeadline(t time.Time) error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *lateListener) Close() error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.Close()
+}
+
+func dialGateway(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(15*time.Second)))
+	return c
+}
+
+func shutdownGateway(t *testing.T, g *Gateway) chan error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	done := make(chan error, 1)
+	go func() { done <- g.Shutdown(ctx) }()
+	return done
+}
+
+// Guards against a shutdown that resets connections which the kernel has accepted
+// and the gateway has not.
+func TestShutdownAnswersTheBacklog(t *testing.T) {
+	h := newHarness(t, echo, nil)
+	h.draining.Store(true)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &lateListener{TCPListener: inner.(*net.TCPListener), stopped: make(chan struct{})}
+	g := New(h.Gateway.Config)
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(l) }()
+	const callers = 10
+	var conns []net.Conn
+	for range callers {
+		c := dialGateway(t, inner.Addr().String())
+		_, err := c.Write([]byte(openRequest))
+		require.NoError(t, err)
+		conns = append(conns, c)
+	}
+	done := shutdownGateway(t, g)
+	answered := 0
+	for _, c := range conns {
+		response := &fasthttp.Response{}
+		if response.Read(bufio.NewReader(c)) == nil {
+			requireProblem(t, response, problem.KindDraining, problem.OutcomeNotRun)
+			answered++
+		}
+	}
+	require.Equal(t, callers, answered, "answered connections of the backlog")
+	require.NoError(t, <-done)
+	require.NoError(t, <-served)
+	_, err = net.Dial("tcp", inner.Addr().String())
+	require.Error(t, err)
+}
+
+// Guards against a shutdown that closes a kept connection whose request has arrived
+// and was not read yet, because the process had other work.
+func TestShutdownKeepsConnectionsWithUnreadRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	caller := dialGateway(t, l.Addr().String())
+	raw, err := l.Accept()
+	require.NoError(t, err)
+	open := newConnections()
+	c := open.add(raw, 1)
+	t.Cleanup(func() { _ = c.Close() })
+	require.False(t, c.isIdle(c.opened), "opened just now")
+	require.True(t, c.isIdle(c.opened.Add(newConnectionGrace)))
+	trackPhase(c, fasthttp.StateIdle)
+	require.True(t, c.isIdle(c.opened), "used before")
+	_, err = caller.Write([]byte(openRequest))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !c.isIdle(time.Now()) }, 5*time.Second, time.Millisecond)
+	open.closeIdle()
+	answer := make([]byte, len(openRequest))
+	_, err = raw.Read(answer)
+	require.NoError(t, err, "the connection is still read")
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -8,8 +8,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/catkinspring/catkinspring/internal/backlog"
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
@@ -63,28 +62,11 @@
 // accepted, and closes the listener. Closing it alone would reset them.
 func (s *Server) StopAccepting(l *net.TCPListener) error {
 	err := l.SetDeadline(time.Unix(1, 0))
-	raw, rawErr := l.SyscallConn()
-	err = errors.Join(err, rawErr)
-	if rawErr == nil {
-		err = errors.Join(err, raw.Control(func(fd uintptr) {
-			for {
-				accepted, _, acceptErr := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-				if acceptErr != nil {
-					return // usually EAGAIN: the backlog is empty
-				}
-				s.startAccepted(accepted)
-			}
-		}))
-	}
-	return errors.Join(err, l.Close())
-}
-
-// startAccepted serves a connection that was accepted by a system call.
-func (s *Server) startAccepted(fd int) {
-	file := os.NewFile(uintptr(fd), "caller")
-	defer func() { _ = file.Close() }()
-	// FileConn duplicates the descriptor.
-	if raw, err := net.FileConn(file); err == nil {
+	for {
+		raw, acceptErr := backlog.Accept(l)
+		if raw == nil {
+			return errors.Join(err, acceptErr, l.Close())
+		}
 		s.startConn(raw)
 	}
 }
