Serve: a stop delivers the response before pipelined requests

What callers saw: a caller that pipelines lost a response to a planned stop of `catkinspring serve`: the response had begun, then the connection was reset. Cause: while the host stops, each response closes its connection. Requests that the caller had pipelined behind it stay unread; closing a connection with unread bytes makes the kernel reset it and drop what it has still to send. Lingering was enabled for requests with a parse error only. Why it works: the connection lingers after each response of a stopping host: the sending side is closed, and what still arrives is discarded within the known limits, so that the kernel delivers the response first.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -18,8 +18,9 @@
 
 const (
 	// lingerTimeout and lingerBytes limit what is read and discarded from a caller
-	// that is refused before the end of its request. Closing with unread bytes would
-	// reset the connection, and the caller would often lose the refusal.
+	// whose connection is closed before all that it sent was read. Closing with unread
+	// bytes would reset the connection, and the caller would often lose the last
+	// response.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
 	// newConnectionGrace is how long a connection without a request is not considered
@@ -205,7 +206,7 @@
 	return c.closeErr
 }
 
-// lingerOnClose enables lingering, after a request that was not read to its end.
+// lingerOnClose enables lingering, for callers that may have sent more than was read.
 func lingerOnClose(c net.Conn) {
 	if caller, ok := c.(*callerConn); ok {
 		caller.linger.Store(true)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,6 +107,7 @@
 func (c *call) closeIfDraining() {
 	if c.g.Draining() {
 		c.ctx.SetConnectionClose()
+		lingerOnClose(c.ctx.Conn())
 	}
 }
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -113,3 +115,30 @@
 	_, err = raw.Read(answer)
 	require.NoError(t, err, "the connection is still read")
 }
+
+// Guards against a planned stop that closes a connection with unread pipelined
+// requests, which resets it and destroys the response before them.
+func TestStopDeliversTheResponseBeforePipelinedRequests(t *testing.T) {
+	body := bytes.Repeat([]byte("a"), 1<<20)
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		close(arrived)
+		<-answer
+		ctx.SetBody(body)
+	}, nil)
+	c := dialGateway(t, h.address)
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	_, err := c.Write(bytes.Repeat([]byte(openRequest), 2*DefaultHeaderBytes/len(openRequest)))
+	require.NoError(t, err)
+	<-arrived
+	h.draining.Store(true)
+	close(answer)
+	response := &fasthttp.Response{}
+	reader := bufio.NewReader(c)
+	require.NoError(t, response.Read(reader))
+	require.Equal(t, fasthttp.StatusOK, response.StatusCode())
+	require.Len(t, response.Body(), len(body))
+	require.True(t, response.ConnectionClose())
+	_, err = reader.ReadByte()
+	require.Equal(t, io.EOF, err)
+}
