Serve: a planned stop waits until each request has its whole response

What callers saw: a caller that reads slowly got half a response in a planned stop of `catkinspring serve`, long before `drain.timeout`. Cause: the stop counted requests while they were dispatched only. A request that waits for a token of its customer or for its claim, and a response that is being written, were not counted; 2 s after the count was 0 the process ended. A half-sent request got no answer either. TestDrainCountsRequestsFromReadToWritten and TestDrainAnswersHalfSentRequests ask what the code before could not be asked; the loss of requests that wait for a token was not run on it. Why it works: the gateway counts per connection, from the first byte of a request until its response is flushed, and accepts no connections any more, so that each request that comes late is the last of its connection and the count reaches 0. A request that is still being read 2 s after that is answered 408, not run.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -139,12 +139,26 @@
 	return len(s.open)
 }
 
-// closeIdle closes the idle connections.
-func (s *connections) closeIdle() {
-	now := time.Now()
+// sweep closes the idle connections and returns the number of requests that are
+// being read or answered, or have arrived. Connections whose callers have had no time
+// for a request count too.
+func (s *connections) sweep() int {
+	now, requests := time.Now(), 0
 	for _, c := range s.list() {
-		if c.isIdle(now) {
-			lingerOnClose(c)
+		if !c.isIdle(now) {
+			requests++
+			continue
+		}
+		lingerOnClose(c)
+		c.interruptRead()
+	}
+	return requests
+}
+
+// interruptReads makes the server answer requests that are still being read.
+func (s *connections) interruptReads() {
+	for _, c := range s.list() {
+		if phase(c.phase.Load()) == phaseReading {
 			c.interruptRead()
 		}
 	}
@@ -185,6 +199,13 @@
 		upstream.IsIdle(c.Conn)
 }
 
+// answering marks the connection's request as read.
+func answering(c net.Conn) {
+	if caller, ok := c.(*callerConn); ok {
+		caller.phase.Store(int32(phaseAnswering))
+	}
+}
+
 // interruptRead makes the server stop reading. It closes the connection if it is
 // idle, and answers with 408 if a request was being read.
 func (c *callerConn) interruptRead() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,6 +61,7 @@
 func newCall(g *Gateway, ctx *fasthttp.RequestCtx) *call {
 	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
 	c.trace = requestlog.Acquire(c.id, c.started)
+	answering(ctx.Conn())
 	return c
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// sweepInterval is how often a stopping gateway looks for idle connections.
-const sweepInterval = 20 * time.Millisecond
+const (
+	// sweepInterval is how often a stopping gateway looks for idle connections.
+	sweepInterval = 20 * time.Millisecond
+	// readGrace is how long a draining gateway waits for the rest of a request. The
+	// request is refused in any case, so that it can only delay the stop.
+	readGrace = 2 * time.Second
+)
 
 // OpenConnectionsError reports connections that had to be closed while they were in
 // use, because the time for a shutdown was over.
@@ -19,6 +24,37 @@
 	return fmt.Sprintf("%d connections were in use at the end of the shutdown", e.Connections)
 }
 
+// Drain accepts no further connections, closes idle ones and waits until every request
+// that was received has its whole response, or the context ends. It returns the number
+// of the other requests. Config.Draining must be true, so that new requests on open
+// connections are refused.
+func (g *Gateway) Drain(ctx context.Context) int {
+	if err := g.stopAccepting(); err != nil {
+		g.Logger.Warn().Err(err).Msg("ending the callers' listener")
+	}
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	grace := time.NewTimer(readGrace)
+	defer grace.Stop()
+	graceOver := false
+	for {
+		requests := g.connections.sweep()
+		if requests == 0 {
+			return 0
+		}
+		if graceOver {
+			g.connections.interruptReads()
+		}
+		select {
+		case <-ticker.C:
+		case <-grace.C:
+			graceOver = true
+		case <-ctx.Done():
+			return requests
+		}
+	}
+}
+
 // Shutdown serves the connections that the kernel has accepted already, accepts no
 // further ones, and closes each connection once it is idle. When the context ends, it
 // closes the remaining ones and returns *OpenConnectionsError.
@@ -29,7 +65,7 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
-		g.connections.closeIdle()
+		g.connections.sweep()
 		open := g.connections.list()
 		if len(open) == 0 {
 			return nil
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/problem"
 )
 
@@ -110,7 +111,7 @@
 	_, err = caller.Write([]byte(openRequest))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return !c.isIdle(time.Now()) }, 5*time.Second, time.Millisecond)
-	open.closeIdle()
+	require.Equal(t, 1, open.sweep())
 	answer := make([]byte, len(openRequest))
 	_, err = raw.Read(answer)
 	require.NoError(t, err, "the connection is still read")
@@ -142,3 +143,80 @@
 	_, err = reader.ReadByte()
 	require.Equal(t, io.EOF, err)
 }
+
+func drainGateway(t *testing.T, h *harness) chan int {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	h.draining.Store(true)
+	done := make(chan int, 1)
+	go func() { done <- h.Drain(ctx) }()
+	return done
+}
+
+// Guards against a planned stop that overlooks requests which wait for a token, for a
+// claim or for the caller to read the response.
+func TestDrainCountsRequestsFromReadToWritten(t *testing.T) {
+	admitted, admit := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, echo, nil)
+	h.limiter.onAdmit = func() {
+		close(admitted)
+		<-admit
+	}
+	c := dialGateway(t, h.address)
+	_, err := c.Write([]byte("GET /reads HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() + "\r\n\r\n"))
+	require.NoError(t, err)
+	<-admitted
+	h.draining.Store(true)
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, 1, h.Drain(over), "waits for a token")
+	done := drainGateway(t, h)
+	close(admit)
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(bufio.NewReader(c)))
+	require.Equal(t, fasthttp.StatusCreated, response.StatusCode())
+	require.Zero(t, <-done)
+
+	written := make(chan struct{})
+	body := make([]byte, 7<<20)
+	h = newHarness(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(body) }, func(config *Config) {
+		config.Dispatcher = closeAfter(config.Dispatcher, written)
+	})
+	c = dialGateway(t, h.address)
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	_, err = c.Write([]byte(openRequest))
+	require.NoError(t, err)
+	<-written
+	h.draining.Store(true)
+	require.Equal(t, 1, h.Drain(over), "the caller has not read the response")
+	done = drainGateway(t, h)
+	require.NoError(t, response.Read(bufio.NewReader(c)))
+	require.Len(t, response.Body(), len(body))
+	require.Zero(t, <-done)
+}
+
+// closeAfter closes a channel when a request was dispatched.
+func closeAfter(next Dispatcher, dispatched chan struct{}) Dispatcher {
+	return dispatcherFunc(func(ctx context.Context, r *dispatch.Request, into *fasthttp.Response) error {
+		defer close(dispatched)
+		return next.Dispatch(ctx, r, into)
+	})
+}
+
+// Guards against a planned stop that waits for the rest of a request which it refuses
+// anyway, or closes its connection without an answer.
+func TestDrainAnswersHalfSentRequests(t *testing.T) {
+	h := newHarness(t, echo, nil)
+	c := dialGateway(t, h.address)
+	_, err := c.Write([]byte("POST /open HTTP/1.1\r\nHost: g\r\nContent-Length: 9\r\n\r\nhalf"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		open := h.connections.list()
+		return len(open) == 1 && phase(open[0].phase.Load()) == phaseReading
+	}, 5*time.Second, time.Millisecond)
+	done := drainGateway(t, h)
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(bufio.NewReader(c)))
+	requireProblem(t, response, problem.KindRequestTimeout, problem.OutcomeNotRun)
+	require.Zero(t, <-done)
+}
--- a/host/drain.go
+++ b/host/drain.go
@@ -8,13 +8,15 @@
 	"github.com/catkinspring/catkinspring/membership"
 )
 
-// drainPollInterval is how often a drain polls the number of running requests.
-const drainPollInterval = 20 * time.Millisecond
+// confirmationPollInterval is how often a drain polls the number of ended operations
+// that are not confirmed.
+const confirmationPollInterval = 20 * time.Millisecond
 
 // DrainTimeoutError reports a graceful shutdown that did not finish in time.
 type DrainTimeoutError struct {
 	Timeout time.Duration
-	Active  int
+	// Active is the number of requests without a whole response.
+	Active int
 }
 
 func (e *DrainTimeoutError) Error() string {
@@ -42,48 +44,43 @@
 	h.state.drainSince.Store(int64(h.clock.Now().Instant))
 	h.log.Info().Msg("planned stop begins")
 	h.record(h.clock.Now(), machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
-	timeout := time.NewTimer(h.settings.Drain.Timeout)
-	defer timeout.Stop()
+	bound, cancel := context.WithTimeout(stop, h.settings.Drain.Timeout)
+	defer cancel()
 	if !h.loop.Post(h.modules.membership, membership.Leave{}) {
 		h.log.Error().Msg("control loop did not take the leave request")
 	}
-	// Accept requests until every cached lookup answer has expired. The handover
-	// needs the store or the peers and may take longer.
+	left := h.waitForHandover(bound)
+	h.state.draining.Store(true)
+	unanswered := h.gateway.Drain(bound)
+	switch {
+	case stop.Err() != nil:
+		return nil
+	case !left || unanswered > 0:
+		return &DrainTimeoutError{Timeout: h.settings.Drain.Timeout, Active: unanswered}
+	}
+	h.waitForConfirmations(bound)
+	h.record(h.clock.Now(), machine.Event{Kind: "drain.end", Text: "all running requests are finished"})
+	return nil
+}
+
+// waitForHandover accepts requests until every cached lookup answer has expired and
+// the host has left its cell. The handover needs the store or the peers and may take
+// longer. It returns false if the context ended first.
+func (h *Host) waitForHandover(ctx context.Context) bool {
 	cached := time.NewTimer(h.settings.Lookup.MaxAge)
 	defer cached.Stop()
 	select {
 	case <-cached.C:
-	case <-stop.Done():
-		return nil
+	case <-ctx.Done():
+		return false
 	}
 	select {
 	case <-h.left:
 	case <-h.retired:
-	case <-stop.Done():
-		return nil
-	case <-timeout.C:
-		return &DrainTimeoutError{Timeout: h.settings.Drain.Timeout, Active: h.active.running()}
+	case <-ctx.Done():
+		return false
 	}
-	return h.finishRequests(stop, timeout)
-}
-
-// finishRequests refuses new requests and waits for the running ones.
-func (h *Host) finishRequests(stop context.Context, timeout *time.Timer) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	h.state.draining.Store(true)
-	for h.active.running() > 0 {
-		select {
-		case <-ticker.C:
-		case <-stop.Done():
-			return nil
-		case <-timeout.C:
-			return &DrainTimeoutError{Timeout: h.settings.Drain.Timeout, Active: h.active.running()}
-		}
-	}
-	h.waitForConfirmations(stop, ticker)
-	h.record(h.clock.Now(), machine.Event{Kind: "drain.end", Text: "all running requests are finished"})
-	return nil
+	return true
 }
 
 // confirmationTimeout bounds the wait for owners to confirm the end of operations. A
@@ -94,15 +91,15 @@
 // waitForConfirmations waits until the owners of ended operations have confirmed the
 // ends. If an end is lost with this host, later requests with that operation ID
 // are answered "unknown".
-func (h *Host) waitForConfirmations(stop context.Context, ticker *time.Ticker) {
-	timeout := time.NewTimer(confirmationTimeout)
-	defer timeout.Stop()
+func (h *Host) waitForConfirmations(bound context.Context) {
+	ctx, cancel := context.WithTimeout(bound, confirmationTimeout)
+	defer cancel()
+	ticker := time.NewTicker(confirmationPollInterval)
+	defer ticker.Stop()
 	for h.state.pendingConfirmations.Load() > 0 {
 		select {
 		case <-ticker.C:
-		case <-stop.Done():
-			return
-		case <-timeout.C:
+		case <-ctx.Done():
 			h.log.Warn().Int64("operations", h.state.pendingConfirmations.Load()).Msg("owners did not confirm the end of operations")
 			return
 		}
--- /dev/null
+++ b/internal/demo/stop_test.go
@@ -0,0 +1,97 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// stopSpec returns a fleet of one entry host whose planned stop is shorter than the
+// timeouts of its routes.
+func stopSpec() Spec {
+	s := smallSpec(1)
+	s.DrainTimeout = 8 * time.Second
+	for i := range s.Routes {
+		s.Routes[i].TimeoutMillis = 20_000
+		s.Routes[i].FirstByteTimeoutMillis = 20_000
+	}
+	return s
+}
+
+func startStopFleet(ctx context.Context, t *testing.T) *Fleet {
+	options := programs
+	options.Directory = t.TempDir()
+	f, err := start(ctx, stopSpec(), options, t.Logf)
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *Fleet) dial(t *testing.T) net.Conn {
+	c, err := net.Dial("tcp", f.Hosts[0].Callers.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(testTimeout)))
+	return c
+}
+
+func send(t *testing.T, c net.Conn, request string) {
+	_, err := c.Write([]byte(request))
+	require.NoError(t, err)
+}
+
+// awaitRuns waits until the upstreams have received a number of requests.
+func (f *Fleet) awaitRuns(ctx context.Context, t *testing.T, want int) {
+	require.NoError(t, Eventually(ctx, readyTimeout, "the upstreams have the requests", func() error {
+		received := 0
+		for _, addresses := range f.Upstreams {
+			report, err := f.runReport(ctx, addresses.Admin, 0, 1)
+			if err != nil {
+				return err
+			}
+			received += report.Totals.Received
+		}
+		if received < want {
+			return &stateError{host: f.Hosts[0].ID, state: strconv.Itoa(received) + " requests passed on"}
+		}
+		return nil
+	}))
+}
+
+func (f *Fleet) awaitEnd(t *testing.T) {
+	select {
+	case <-f.Hosts[0].Process.Done():
+	case <-time.After(f.DrainTimeout + propagationLimit):
+		t.Fatal("the host did not end: " + f.Hosts[0].Process.Log())
+	}
+}
+
+// Guards against a planned stop that counts a request as finished while its response
+// is still being written, and cuts the response.
+func TestPlannedStopDeliversResponsesToSlowReaders(t *testing.T) {
+	ctx := testContext(t)
+	f := startStopFleet(ctx, t)
+	c := f.dial(t)
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(256<<10))
+	const size = 8 << 20 * 9 / 10
+	send(t, c, "GET /"+routeKatalog+"/x?size="+strconv.Itoa(size)+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.awaitRuns(ctx, t, 1)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.NoError(t, f.Hosts[0].Process.Signal(syscall.SIGTERM))
+	time.Sleep(f.MaxAge + 4*time.Second)
+	total, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err, "%d bytes of the response arrived", total)
+	require.GreaterOrEqual(t, total, int64(size))
+	f.awaitEnd(t)
+	assert.Zero(t, f.Hosts[0].Process.ExitCode(), f.Hosts[0].Process.Log())
+}
