Serve: requests that outlast a planned stop get a final answer and a log line

What callers saw: at the end of `drain.timeout` a planned stop of `catkinspring serve` closed the connections of the requests that still ran, without an answer. Operators saw one error with no request's ID. Cause: the stop returned with an error and the process ended 2 s later; nothing told the requests to end. Evidence: TestPlannedStopAnswersRequestsThatOutlastIt (real processes, an answer that takes 15 s, drain.timeout 8 s) on the code before: "unexpected EOF" in 2 of 2 runs; now 504 with outcome "unknown" and the line in 2 of 2. TestAbortAnswersRunningRequests: a running operation ends "unknown" and its claim is abandoned; a request that waits for a token ends "not-run". Why it works: the last second of the stop (a quarter of a short one) is for final answers. The gateway cancels each request through a pointer that the request itself has published, so no lock is added to the path of requests. The outcome is the one that the dispatcher knows. Each request logs ID, age, route, customer, whether it was passed on, and the upstream; the lines are bounded by 500.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -127,6 +127,7 @@
 // write writes the request. If it returns an error and wrote is false, no byte
 // reached the connection.
 func (e *exchange) write(c *connection, head, body []byte) (err error) {
+	e.request.upstream.Store(&e.target.Name)
 	before := e.request.written.Swap(true)
 	e.wrote = true
 	e.started = time.Now()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -58,13 +58,23 @@
 	// Trace records the attempts; nil records nothing.
 	Trace *requestlog.Trace
 
-	written atomic.Bool
+	written  atomic.Bool
+	upstream atomic.Pointer[fleet.Upstream]
 }
 
 // Written reports whether a byte of the request may have been written to an
-// upstream. It may be called after a panic in Dispatch.
+// upstream. It may be called at any time, by any goroutine.
 func (r *Request) Written() bool { return r.written.Load() }
 
+// Upstream returns the upstream of the last attempt that was begun, or "". It may be
+// called at any time, by any goroutine.
+func (r *Request) Upstream() fleet.Upstream {
+	if name := r.upstream.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 func (r *Request) atMostOnce() bool {
 	return r.Route.Semantics != configuration.SemanticsIdempotent
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -133,6 +133,9 @@
 	if !f.atMostOnce() {
 		defer watchDisconnect(f.ctx.Conn(), cancel)()
 	}
+	if !f.cancelOnAbort(cancel) {
+		return problem.NotRun(problem.KindDraining, "the entry host is stopping; use another one")
+	}
 	f.request = &dispatch.Request{
 		ID:          f.id,
 		Route:       f.route,
@@ -149,6 +152,7 @@
 	if f.needsLease() {
 		f.request.Lease = f.g.Lease
 	}
+	f.dispatched.Store(f.request)
 	return f.admitAndRun(ctx, operationKey)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -101,6 +102,8 @@
 	// than the listener's backlog.
 	listener *boundedListener
 	stopping bool
+	// stopLines counts the log lines on requests of a planned stop.
+	stopLines atomic.Int64
 }
 
 // New returns a Gateway.
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// abort ends the requests that are still read or answered. It may be repeated.
+func (s *connections) abort() {
+	for _, c := range s.list() {
+		if request := c.call.Load(); request != nil {
+			request.abort()
+		}
+	}
+	s.interruptReads()
+}
+
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
@@ -172,7 +182,9 @@
 	linger      atomic.Bool
 	phase       atomic.Int32
 	// used is true once a request was answered.
-	used     atomic.Bool
+	used atomic.Bool
+	// call is the request that is being answered, or nil.
+	call     atomic.Pointer[call]
 	once     sync.Once
 	closeErr error
 }
@@ -188,6 +200,7 @@
 		caller.phase.Store(int32(phaseReading))
 	case fasthttp.StateIdle:
 		caller.used.Store(true)
+		caller.call.Store(nil)
 		caller.phase.Store(int32(phaseIdle))
 	}
 }
@@ -200,8 +213,9 @@
 }
 
 // answering marks the connection's request as read.
-func answering(c net.Conn) {
+func answering(c net.Conn, request *call) {
 	if caller, ok := c.(*callerConn); ok {
+		caller.call.Store(request)
 		caller.phase.Store(int32(phaseAnswering))
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -37,7 +39,7 @@
 		return
 	}
 	if err := c.forward(path); err != nil {
-		c.refuse(err)
+		c.refuse(c.endedByStop(err))
 		return
 	}
 	c.finish()
@@ -56,12 +58,19 @@
 	// have passed.
 	request *dispatch.Request
 	trace   *requestlog.Trace
+
+	// The following fields may be used by any goroutine. aborted is true once the
+	// request has to end because the host stops, cancel ends its exchange, and
+	// dispatched is request.
+	aborted    atomic.Bool
+	cancel     atomic.Pointer[context.CancelFunc]
+	dispatched atomic.Pointer[dispatch.Request]
 }
 
 func newCall(g *Gateway, ctx *fasthttp.RequestCtx) *call {
 	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
 	c.trace = requestlog.Acquire(c.id, c.started)
-	answering(ctx.Conn())
+	answering(ctx.Conn(), c)
 	return c
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/catkinspring/catkinspring/problem"
 )
 
 const (
@@ -55,6 +57,76 @@
 	}
 }
 
+// Abort ends the requests that Drain left, so that their callers get a final answer,
+// and waits for the answers until the context ends. It returns the number of requests
+// that still have no whole response, and logs them.
+func (g *Gateway) Abort(ctx context.Context) int {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		g.connections.abort()
+		requests := g.connections.sweep()
+		if requests == 0 {
+			return 0
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			for _, c := range g.connections.list() {
+				if request := c.call.Load(); request != nil {
+					g.logStopped(request, "response cut by the planned stop")
+				}
+			}
+			return requests
+		}
+	}
+}
+
+// cancelOnAbort lets abort cancel the exchange of a request. It returns false if the
+// request was aborted already.
+func (c *call) cancelOnAbort(cancel context.CancelFunc) bool {
+	c.cancel.Store(&cancel)
+	return !c.aborted.Load()
+}
+
+// abort ends a request that is waiting or is run by an upstream.
+func (c *call) abort() {
+	c.aborted.Store(true)
+	if cancel := c.cancel.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// endedByStop returns the error to report for a failed request. If the request was
+// aborted, that is the planned stop, whatever the cancelled module reported.
+func (c *call) endedByStop(err error) error {
+	if !c.aborted.Load() {
+		return err
+	}
+	c.g.logStopped(c, "request ended by the planned stop")
+	if outcomeOf(err) == problem.OutcomeNotRun {
+		return problem.NotRun(problem.KindDraining, "the entry host stopped before the request was passed on; use another one").WithCause(err)
+	}
+	return problem.New(problem.KindDeadlineExceeded, outcomeOf(err), "the entry host stopped before the upstream answered").WithCause(err)
+}
+
+// maxStopLines bounds the log lines on single requests of a planned stop.
+const maxStopLines = 500
+
+func (g *Gateway) logStopped(c *call, message string) {
+	if g.stopLines.Add(1) > maxStopLines {
+		return
+	}
+	line := g.Logger.Warn().Str("request", c.id).Dur("age", time.Since(c.started))
+	if r := c.dispatched.Load(); r != nil {
+		line.Str("route", string(r.Route.Name)).Str("customer", string(r.Customer)).
+			Bool("passed_on", r.Written()).Str("upstream", string(r.Upstream()))
+	} else {
+		line.Bool("passed_on", false)
+	}
+	line.Msg(message)
+}
+
 // Shutdown serves the connections that the kernel has accepted already, accepts no
 // further ones, and closes each connection once it is idle. When the context ends, it
 // closes the remaining ones and returns *OpenConnectionsError.
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -10,11 +10,14 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/problem"
+	"github.com/catkinspring/catkinspring/traffic"
 )
 
 const openRequest = "GET /open HTTP/1.1\r\nHost: g\r\n\r\n"
@@ -220,3 +223,54 @@
 	requireProblem(t, response, problem.KindRequestTimeout, problem.OutcomeNotRun)
 	require.Zero(t, <-done)
 }
+
+// waitingLimiter is a Limiter without tokens.
+type waitingLimiter struct{ waiting chan struct{} }
+
+func (l waitingLimiter) Admit(ctx context.Context, _ fleet.Customer) (traffic.Admission, error) {
+	close(l.waiting)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a planned stop that cuts requests at its end without a final answer,
+// with a wrong outcome or without a log line.
+func TestAbortAnswersRunningRequests(t *testing.T) {
+	var log bytes.Buffer
+	arrived, release := make(chan struct{}), make(chan struct{})
+	waiting := make(chan struct{})
+	upstream := func(*fasthttp.RequestCtx) {
+		close(arrived)
+		<-release
+	}
+	start := func(modify func(*Config), path, headers string, begun chan struct{}) (*harness, net.Conn) {
+		h := newHarness(t, upstream, modify)
+		c := dialGateway(t, h.address)
+		_, err := c.Write([]byte("POST " + path + " HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
+			"\r\nContent-Length: 0\r\n" + headers + "\r\n"))
+		require.NoError(t, err)
+		<-begun
+		return h, c
+	}
+	running, runningCaller := start(func(c *Config) { c.Logger = zerolog.New(&log) }, "/orders", idempotencyHeader, arrived)
+	t.Cleanup(func() { close(release) })
+	queued, queuedCaller := start(func(c *Config) { c.Limiter = waitingLimiter{waiting} }, "/reads", "", waiting)
+
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, h := range []*harness{running, queued} {
+		h.draining.Store(true)
+		require.Equal(t, 1, h.Drain(over))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		t.Cleanup(cancel)
+		require.Zero(t, h.Abort(ctx))
+	}
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(bufio.NewReader(runningCaller)))
+	requireProblem(t, response, problem.KindDeadlineExceeded, problem.OutcomeUnknown)
+	require.Equal(t, []string{"abandon"}, running.claimer.endings())
+	require.Contains(t, log.String(), string(response.Header.Peek(dispatch.HeaderRequestID)))
+	require.Contains(t, log.String(), `"passed_on":true,"upstream":"u1"`)
+	require.NoError(t, response.Read(bufio.NewReader(queuedCaller)))
+	requireProblem(t, response, problem.KindDraining, problem.OutcomeNotRun)
+}
--- a/host/drain.go
+++ b/host/drain.go
@@ -44,14 +44,13 @@
 	h.state.drainSince.Store(int64(h.clock.Now().Instant))
 	h.log.Info().Msg("planned stop begins")
 	h.record(h.clock.Now(), machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
-	bound, cancel := context.WithTimeout(stop, h.settings.Drain.Timeout)
+	bound, cancel := context.WithTimeout(stop, h.settings.Drain.Timeout-h.finalAnswerTime())
 	defer cancel()
 	if !h.loop.Post(h.modules.membership, membership.Leave{}) {
 		h.log.Error().Msg("control loop did not take the leave request")
 	}
 	left := h.waitForHandover(bound)
-	h.state.draining.Store(true)
-	unanswered := h.gateway.Drain(bound)
+	unanswered := h.finishRequests(bound, h.finalAnswerTime())
 	switch {
 	case stop.Err() != nil:
 		return nil
@@ -63,6 +62,32 @@
 	return nil
 }
 
+// maxFinalAnswerTime bounds the part of a planned stop in which the requests that
+// still run are ended with a final answer.
+const maxFinalAnswerTime = time.Second
+
+// finalAnswerTime returns the part of the planned stop that is left for final answers.
+func (h *Host) finalAnswerTime() time.Duration {
+	return min(maxFinalAnswerTime, h.settings.Drain.Timeout/4)
+}
+
+// finishRequests refuses new requests and waits for the running ones until the bound.
+// It ends the others with a final answer, for which it waits for answerTime more. It
+// returns the number of requests that had no response at the bound.
+func (h *Host) finishRequests(bound context.Context, answerTime time.Duration) int {
+	h.state.draining.Store(true)
+	unanswered := h.gateway.Drain(bound)
+	if unanswered == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if cut := h.gateway.Abort(ctx); cut > 0 {
+		h.log.Warn().Int("requests", cut).Msg("requests have no whole response at the end of the planned stop")
+	}
+	return unanswered
+}
+
 // waitForHandover accepts requests until every cached lookup answer has expired and
 // the host has left its cell. The handover needs the store or the peers and may take
 // longer. It returns false if the context ended first.
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -3,16 +3,20 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/internal/standin/upstream"
 )
 
 // stopSpec returns a fleet of one entry host whose planned stop is shorter than the
@@ -36,6 +40,14 @@
 	return f
 }
 
+// delayAnswers makes the upstreams answer requests with a marker after a delay.
+func (f *Fleet) delayAnswers(ctx context.Context, t *testing.T, marker string, delay time.Duration) {
+	fault := upstream.Fault{Kind: upstream.FaultLate, Marker: marker, DelayMillis: float64(delay.Milliseconds())}
+	for _, addresses := range f.Upstreams {
+		require.NoError(t, call(ctx, http.MethodPost, "http://"+addresses.Admin+"/admin/faults", "", fault, nil))
+	}
+}
+
 func (f *Fleet) dial(t *testing.T) net.Conn {
 	c, err := net.Dial("tcp", f.Hosts[0].Callers.String())
 	require.NoError(t, err)
@@ -75,6 +87,35 @@
 	}
 }
 
+// Guards against a planned stop that cuts a running request at its end without an
+// answer and without a log line.
+func TestPlannedStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	ctx := testContext(t)
+	f := startStopFleet(ctx, t)
+	f.delayAnswers(ctx, t, "slow", 15*time.Second)
+	c := f.dial(t)
+	send(t, c, "GET /"+routeKatalog+"/slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.awaitRuns(ctx, t, 1)
+	require.NoError(t, f.Hosts[0].Process.Signal(syscall.SIGTERM))
+
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "the connection ended without an answer")
+	var document problemDocument
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&document))
+	assert.Equal(t, http.StatusGatewayTimeout, response.StatusCode, "%+v", document)
+	assert.Equal(t, "unknown", document.Outcome)
+	f.awaitEnd(t)
+	var line string
+	for l := range strings.Lines(f.Hosts[0].Process.Log()) {
+		if strings.Contains(l, document.RequestID) {
+			line = l
+		}
+	}
+	assert.Contains(t, line, `"passed_on":true`)
+	assert.Contains(t, line, `"upstream":"katalog-ordre-`)
+	assert.Contains(t, line, `"age":`)
+}
+
 // Guards against a planned stop that counts a request as finished while its response
 // is still being written, and cuts the response.
 func TestPlannedStopDeliversResponsesToSlowReaders(t *testing.T) {
