Serve: a stopping host passes on only requests that it has time for

Cause: the host refused new requests once it had left its cell. Without the store that may take as long as the whole stop, and neither the request's timeout nor the time left was considered, nor for requests that waited for a token, a claim or an upstream. Why it works: StopPlan, a decision without clock, admits a request if its deadline, or half of drain.timeout, fits into the rest of the stop. With the defaults nothing is refused in the 5 s for which lookup answers are cached. Cost: in a stop of 8 s with timeouts of 20 s, requests are refused from the third second, though these would have ended in time.

--- a/gateway/check.go
+++ b/gateway/check.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/configuration"
@@ -50,10 +52,21 @@
 	return problem.NotRun(problem.KindKeyInvalid, "the key is not valid")
 }
 
+// checkTimeLeft refuses a request that would probably outlast a planned stop.
+func (f *forwarding) checkTimeLeft(timeout time.Duration) error {
+	if !f.g.StopPlan().Admits(f.g.Clock.Now().Instant, timeout) {
+		return problem.NotRun(problem.KindDraining, "the entry host is stopping and has no time left for the request; use another one")
+	}
+	return nil
+}
+
 // lastCheck repeats the checks immediately before the request is written to an
-// upstream, because the configuration, the lease, the host's share of the rate or
-// the claim may have changed while it waited.
+// upstream, because the configuration, the lease, the host's share of the rate, the
+// claim or the time that a planned stop leaves may have changed while it waited.
 func (f *forwarding) lastCheck() error {
+	if err := f.checkTimeLeft(time.Until(f.request.Deadline)); err != nil {
+		return err
+	}
 	snapshot := f.g.Snapshot()
 	if snapshot == nil {
 		return problem.NotRun(problem.KindNotReady, "the entry host has no configuration")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,10 @@
 	// while a leaving host serves callers with cached lookup answers.
 	Draining func() bool
 
+	// StopPlan returns the plan of the planned stop, or nil before one begins. A nil
+	// function means that there never is one.
+	StopPlan func() *StopPlan
+
 	// MaxConnections limits callers' connections; 0 means DefaultMaxConnections.
 	MaxConnections int
 	// HeaderBytes limits the request line and header; 0 means DefaultHeaderBytes.
@@ -132,6 +136,9 @@
 	if config.Draining == nil {
 		config.Draining = func() bool { return false }
 	}
+	if config.StopPlan == nil {
+		config.StopPlan = func() *StopPlan { return nil }
+	}
 	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry), connections: newConnections()}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
--- a/host/drain.go
+++ b/host/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/catkinspring/catkinspring/gateway"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 )
@@ -39,12 +40,16 @@
 // stop: it leaves the cell and finishes the running requests. The roster marks this
 // host as leaving, so no host returns it in lookup answers any more. Callers with
 // a cached answer are served until it expires, and weight and partitions are
-// handed over. Then new requests are refused and running ones finish.
+// handed over. Then new requests are refused and running ones finish. Requests that
+// would probably outlast the stop are refused from its beginning.
 func (h *Host) drain(stop context.Context) error {
-	h.state.drainSince.Store(int64(h.clock.Now().Instant))
+	now := h.clock.Now()
+	h.state.drainSince.Store(int64(now.Instant))
+	run := h.settings.Drain.Timeout - h.finalAnswerTime()
+	h.state.stopPlan.Store(&gateway.StopPlan{End: now.Instant.Add(run), Reserve: h.settings.Drain.Timeout / 2})
 	h.log.Info().Msg("planned stop begins")
-	h.record(h.clock.Now(), machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
-	bound, cancel := context.WithTimeout(stop, h.settings.Drain.Timeout-h.finalAnswerTime())
+	h.record(now, machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
+	bound, cancel := context.WithTimeout(stop, run)
 	defer cancel()
 	if !h.loop.Post(h.modules.membership, membership.Leave{}) {
 		h.log.Error().Msg("control loop did not take the leave request")
--- a/host/host.go
+++ b/host/host.go
@@ -243,6 +243,7 @@
 		Quarantined:    h.quarantine.Quarantined,
 		KeySuspended:   h.state.keySuspended,
 		Draining:       h.state.draining.Load,
+		StopPlan:       h.state.stopPlan.Load,
 		HeaderBytes:    h.settings.Requests.HeaderBytes,
 		BodyBytes:      h.settings.Requests.BodyBytes,
 		ReadTimeout:    h.settings.Requests.ReadTimeout,
--- a/host/state.go
+++ b/host/state.go
@@ -7,6 +7,7 @@
 	"github.com/catkinspring/catkinspring/alert"
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gateway"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/placement"
 )
@@ -27,6 +28,8 @@
 	upstreams atomic.Pointer[[]placement.KnownUpstream]
 	alerts    atomic.Pointer[alert.CurrentAlerts]
 	draining  atomic.Bool
+	// stopPlan is nil before a planned stop.
+	stopPlan atomic.Pointer[gateway.StopPlan]
 	// pendingConfirmations counts ended operations whose owner has not confirmed the end.
 	pendingConfirmations atomic.Int64
 	// drainSince is the instant at which the drain began; 0 before.
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -136,3 +136,51 @@
 	f.awaitEnd(t)
 	assert.Zero(t, f.Hosts[0].Process.ExitCode(), f.Hosts[0].Process.Log())
 }
+
+// Guards against a planned stop during a store outage that passes requests on to its
+// end and then cuts them.
+func TestPlannedStopRefusesRequestsThatComeTooLate(t *testing.T) {
+	ctx := testContext(t)
+	f := startStopFleet(ctx, t)
+	f.delayAnswers(ctx, t, "slow", 3*time.Second)
+	require.NoError(t, call(ctx, http.MethodPost, "http://"+f.Platform+"/admin/faults", "", jsonObject{"outage": "refuse"}, nil))
+	require.NoError(t, f.Hosts[0].Process.Signal(syscall.SIGTERM))
+
+	const interval = 200 * time.Millisecond
+	var ends []chan string
+	for n := 0; ; n++ {
+		c, err := net.Dial("tcp", f.Hosts[0].Callers.String())
+		if err != nil {
+			break
+		}
+		end := make(chan string, 1)
+		ends = append(ends, end)
+		go func() {
+			defer func() { _ = c.Close() }()
+			_, _ = c.Write([]byte("GET /" + routeKatalog + "/slow/" + strconv.Itoa(n) + " HTTP/1.1\r\nHost: h\r\n\r\n"))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				end <- "no answer"
+				return
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			switch outcome := response.Header.Get("Request-Outcome"); {
+			case err != nil:
+				end <- "half an answer"
+			default:
+				end <- outcome
+			}
+		}()
+		time.Sleep(interval)
+	}
+	counts := map[string]int{}
+	for _, end := range ends {
+		counts[<-end]++
+	}
+	t.Logf("%v", counts)
+	assert.Zero(t, counts["no answer"])
+	assert.Zero(t, counts["half an answer"])
+	assert.Zero(t, counts["unknown"], "passed on too late")
+	assert.Positive(t, counts["run"])
+	f.awaitEnd(t)
+}
