Serve: a retired incarnation answers its requests before it ends

What callers saw: after a pause of a host's process, requests that upstreams still ran ended without an answer when the host returned. Cause: a process whose incarnation was retired by its cell closed everything within 2 s, as at the end of a planned stop, without one. Why it works: the incarnation refuses new requests, as before, and finishes the running ones within 5 s, then ends the others with a final answer and a log line, by the same path as a planned stop. Cost: the process serves again up to 6 s later if requests take that long.

--- a/host/drain.go
+++ b/host/drain.go
@@ -30,12 +30,27 @@
 	case <-stop.Done():
 		return nil
 	case <-h.retired:
+		h.finishRetired(stop)
 		return &RetiredError{Member: h.self}
 	case <-drain.Done():
 	}
 	return h.drain(stop)
 }
 
+// retiredTimeout bounds the time in which a retired incarnation finishes its requests.
+// The process serves again only after it.
+const retiredTimeout = 5 * time.Second
+
+// finishRetired answers the requests of a retired incarnation. Its lease has ended, but
+// the upstreams that run them do not depend on it.
+func (h *Host) finishRetired(stop context.Context) {
+	run := min(retiredTimeout, h.settings.Drain.Timeout-h.finalAnswerTime())
+	h.state.stopPlan.Store(&gateway.StopPlan{End: h.clock.Now().Instant.Add(run), Reserve: run / 2})
+	bound, cancel := context.WithTimeout(stop, run)
+	defer cancel()
+	h.finishRequests(bound, h.finalAnswerTime())
+}
+
 // drain performs a graceful shutdown, which messages to operators call a planned
 // stop: it leaves the cell and finishes the running requests. The roster marks this
 // host as leaving, so no host returns it in lookup answers any more. Callers with
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -19,10 +19,10 @@
 	"github.com/catkinspring/catkinspring/internal/standin/upstream"
 )
 
-// stopSpec returns a fleet of one entry host whose planned stop is shorter than the
-// timeouts of its routes.
-func stopSpec() Spec {
-	s := smallSpec(1)
+// stopSpec returns a fleet with one entry host in each region, whose planned stop is
+// shorter than the timeouts of its routes.
+func stopSpec(regions int) Spec {
+	s := smallSpec(regions)
 	s.DrainTimeout = 8 * time.Second
 	for i := range s.Routes {
 		s.Routes[i].TimeoutMillis = 20_000
@@ -31,10 +31,10 @@
 	return s
 }
 
-func startStopFleet(ctx context.Context, t *testing.T) *Fleet {
+func startStopFleet(ctx context.Context, t *testing.T, regions int) *Fleet {
 	options := programs
 	options.Directory = t.TempDir()
-	f, err := start(ctx, stopSpec(), options, t.Logf)
+	f, err := start(ctx, stopSpec(regions), options, t.Logf)
 	require.NoError(t, err)
 	t.Cleanup(f.Close)
 	return f
@@ -91,7 +91,7 @@
 // answer and without a log line.
 func TestPlannedStopAnswersRequestsThatOutlastIt(t *testing.T) {
 	ctx := testContext(t)
-	f := startStopFleet(ctx, t)
+	f := startStopFleet(ctx, t, 1)
 	f.delayAnswers(ctx, t, "slow", 15*time.Second)
 	c := f.dial(t)
 	send(t, c, "GET /"+routeKatalog+"/slow HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -120,7 +120,7 @@
 // is still being written, and cuts the response.
 func TestPlannedStopDeliversResponsesToSlowReaders(t *testing.T) {
 	ctx := testContext(t)
-	f := startStopFleet(ctx, t)
+	f := startStopFleet(ctx, t, 1)
 	c := f.dial(t)
 	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(256<<10))
 	const size = 8 << 20 * 9 / 10
@@ -141,46 +141,56 @@
 // end and then cuts them.
 func TestPlannedStopRefusesRequestsThatComeTooLate(t *testing.T) {
 	ctx := testContext(t)
-	f := startStopFleet(ctx, t)
+	f := startStopFleet(ctx, t, 1)
 	f.delayAnswers(ctx, t, "slow", 3*time.Second)
 	require.NoError(t, call(ctx, http.MethodPost, "http://"+f.Platform+"/admin/faults", "", jsonObject{"outage": "refuse"}, nil))
 	require.NoError(t, f.Hosts[0].Process.Signal(syscall.SIGTERM))
 
-	const interval = 200 * time.Millisecond
+	counts := f.Hosts[0].askUntil(200*time.Millisecond, "/"+routeKatalog+"/slow", f.Hosts[0].Process.Done())
+	t.Logf("%v", counts)
+	assert.Zero(t, counts["no answer"])
+	assert.Zero(t, counts["half an answer"])
+	assert.Zero(t, counts["unknown"], "passed on too late")
+	assert.Positive(t, counts["run"])
+	f.awaitEnd(t)
+}
+
+// askUntil sends a request on a new connection in each interval, until the channel is closed. It returns the number of requests by the outcome that the
+// callers saw.
+func (h *Host) askUntil(interval time.Duration, path string, done <-chan struct{}) map[string]int {
 	var ends []chan string
-	for n := 0; ; n++ {
-		c, err := net.Dial("tcp", f.Hosts[0].Callers.String())
-		if err != nil {
-			break
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for asking := true; asking; {
+		if c, err := net.Dial("tcp", h.Callers.String()); err == nil {
+			end := make(chan string, 1)
+			ends = append(ends, end)
+			go func() { end <- ask(c, path) }()
+		}
+		select {
+		case <-ticker.C:
+		case <-done:
+			asking = false
 		}
-		end := make(chan string, 1)
-		ends = append(ends, end)
-		go func() {
-			defer func() { _ = c.Close() }()
-			_, _ = c.Write([]byte("GET /" + routeKatalog + "/slow/" + strconv.Itoa(n) + " HTTP/1.1\r\nHost: h\r\n\r\n"))
-			response, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				end <- "no answer"
-				return
-			}
-			_, err = io.Copy(io.Discard, response.Body)
-			switch outcome := response.Header.Get("Request-Outcome"); {
-			case err != nil:
-				end <- "half an answer"
-			default:
-				end <- outcome
-			}
-		}()
-		time.Sleep(interval)
 	}
 	counts := map[string]int{}
 	for _, end := range ends {
 		counts[<-end]++
 	}
-	t.Logf("%v", counts)
-	assert.Zero(t, counts["no answer"])
-	assert.Zero(t, counts["half an answer"])
-	assert.Zero(t, counts["unknown"], "passed on too late")
-	assert.Positive(t, counts["run"])
-	f.awaitEnd(t)
+	return counts
+}
+
+// ask sends a request and returns the outcome that the caller sees.
+func ask(c net.Conn, path string) string {
+	defer func() { _ = c.Close() }()
+	// A failed write shows in the answer.
+	_, _ = c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "no answer"
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "half an answer"
+	}
+	return response.Header.Get("Request-Outcome")
 }
