Serve: a second signal leaves 250 ms for final answers

What callers saw: a second signal to `catkinspring serve` closed the connections of running requests without an answer. Cause: the process ended without telling the requests.

--- a/host/drain.go
+++ b/host/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/catkinspring/catkinspring/gateway"
@@ -28,6 +29,7 @@
 func (h *Host) waitForEnd(stop, drain context.Context) error {
 	select {
 	case <-stop.Done():
+		h.finishRequests(stop, forcedAnswerTime)
 		return nil
 	case <-h.retired:
 		h.finishRetired(stop)
@@ -86,6 +88,10 @@
 // still run are ended with a final answer.
 const maxFinalAnswerTime = time.Second
 
+// forcedAnswerTime is the time for final answers when a second signal stops the host
+// at once.
+const forcedAnswerTime = 250 * time.Millisecond
+
 // finalAnswerTime returns the part of the planned stop that is left for final answers.
 func (h *Host) finalAnswerTime() time.Duration {
 	return min(maxFinalAnswerTime, h.settings.Drain.Timeout/4)
@@ -100,6 +106,9 @@
 	if unanswered == 0 {
 		return 0
 	}
+	if errors.Is(bound.Err(), context.Canceled) {
+		answerTime = forcedAnswerTime
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	if cut := h.gateway.Abort(ctx); cut > 0 {
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -19,6 +19,9 @@
 	"github.com/catkinspring/catkinspring/internal/standin/upstream"
 )
 
+// exitCodeForced is the exit code after a second signal.
+const exitCodeForced = 4
+
 // stopSpec returns a fleet with one entry host in each region, whose planned stop is
 // shorter than the timeouts of its routes.
 func stopSpec(regions int) Spec {
@@ -194,3 +197,23 @@
 	}
 	return response.Header.Get("Request-Outcome")
 }
+
+// Guards against a second signal that cuts running requests without an answer.
+func TestSecondSignalAnswersRunningRequests(t *testing.T) {
+	ctx := testContext(t)
+	f := startStopFleet(ctx, t, 1)
+	f.delayAnswers(ctx, t, "slow", 15*time.Second)
+	outcome := make(chan string, 1)
+	c := f.dial(t)
+	go func() { outcome <- ask(c, "/"+routeKatalog+"/slow") }()
+	f.awaitRuns(ctx, t, 1)
+	signalled := time.Now()
+	for range 2 {
+		require.NoError(t, f.Hosts[0].Process.Signal(syscall.SIGTERM))
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Equal(t, "unknown", <-outcome)
+	f.awaitEnd(t)
+	assert.Equal(t, exitCodeForced, f.Hosts[0].Process.ExitCode())
+	assert.Less(t, f.Hosts[0].Process.Ended().Sub(signalled), f.DrainTimeout/2)
+}
