Serve: the lines of a planned stop carry counts

What operators saw: a planned stop of `catkinspring serve` logged that it began, and nothing on the requests that were open, refused, passed on late, ended or cut. Which of these happened could not be told from the logs. Evidence: TestPlannedStopAnswersRequestsThatOutlastIt now reads both lines of a real process; TestAbortLogsResponsesThatAreCut reads the line of a response whose caller does not read it. Why it works: the gateway counts from the phases of its connections and at the four places where a stopping host decides. Requests that are cut have a line each, within the bound of 500; the end's line says how many lines were left out.

--- a/gateway/check.go
+++ b/gateway/check.go
@@ -89,6 +89,9 @@
 	if f.claim != nil && !f.claim.Valid() {
 		return problem.NotRun(problem.KindClaimUnavailable, "the claim on the operation ended while the request waited")
 	}
+	if f.g.StopPlan() != nil && !f.request.Written() {
+		f.g.stop.late.Add(1)
+	}
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -106,8 +105,7 @@
 	// than the listener's backlog.
 	listener *boundedListener
 	stopping bool
-	// stopLines counts the log lines on requests of a planned stop.
-	stopLines atomic.Int64
+	stop     stopCounters
 }
 
 // New returns a Gateway.
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -133,6 +133,17 @@
 	return list
 }
 
+// counts returns the number of open connections, and of those with a request.
+func (s *connections) counts() (open, requests int) {
+	for _, c := range s.list() {
+		if phase(c.phase.Load()) != phaseIdle {
+			requests++
+		}
+		open++
+	}
+	return open, requests
+}
+
 func (s *connections) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -97,6 +97,9 @@
 	}
 	writeProblem(c.ctx, c.id, refused)
 	c.closeIfDraining()
+	if refused.Kind == problem.KindDraining && !c.aborted.Load() {
+		c.g.stop.refused.Add(1)
+	}
 	c.g.metrics.refused(refused)
 	c.g.Requests.Finish(c.trace, requestlog.End{
 		Status: refused.Status(), Outcome: refused.Outcome, Kind: refused.Kind, Detail: refused.Detail, Elapsed: time.Since(c.started),
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinspring/catkinspring/problem"
@@ -26,6 +27,36 @@
 	return fmt.Sprintf("%d connections were in use at the end of the shutdown", e.Connections)
 }
 
+// StopCounts describes the requests of a planned stop.
+type StopCounts struct {
+	// Connections and Requests are open now; a request is open from its first byte
+	// until its whole response was written.
+	Connections, Requests int
+	// Refused requests were refused because the host stops, LateRequests passed on
+	// after the stop had begun.
+	Refused, LateRequests int64
+	// Ended requests got a final answer at the end of the stop instead of a response.
+	Ended int64
+	// LinesOmitted counts log lines on requests beyond their bound.
+	LinesOmitted int64
+}
+
+// stopCounters holds the counters behind StopCounts. lines counts the log lines on
+// requests of a planned stop.
+type stopCounters struct {
+	refused, late, ended, lines atomic.Int64
+}
+
+// StopCounts returns the counts of the planned stop.
+func (g *Gateway) StopCounts() StopCounts {
+	counts := StopCounts{
+		Refused: g.stop.refused.Load(), LateRequests: g.stop.late.Load(), Ended: g.stop.ended.Load(),
+		LinesOmitted: max(0, g.stop.lines.Load()-maxStopLines),
+	}
+	counts.Connections, counts.Requests = g.connections.counts()
+	return counts
+}
+
 // Drain accepts no further connections, closes idle ones and waits until every request
 // that was received has its whole response, or the context ends. It returns the number
 // of the other requests. Config.Draining must be true, so that new requests on open
@@ -103,6 +134,7 @@
 	if !c.aborted.Load() {
 		return err
 	}
+	c.g.stop.ended.Add(1)
 	c.g.logStopped(c, "request ended by the planned stop")
 	if outcomeOf(err) == problem.OutcomeNotRun {
 		return problem.NotRun(problem.KindDraining, "the entry host stopped before the request was passed on; use another one").WithCause(err)
@@ -114,7 +146,7 @@
 const maxStopLines = 500
 
 func (g *Gateway) logStopped(c *call, message string) {
-	if g.stopLines.Add(1) > maxStopLines {
+	if g.stop.lines.Add(1) > maxStopLines {
 		return
 	}
 	line := g.Logger.Warn().Str("request", c.id).Dur("age", time.Since(c.started))
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -274,3 +274,27 @@
 	require.NoError(t, response.Read(bufio.NewReader(queuedCaller)))
 	requireProblem(t, response, problem.KindDraining, problem.OutcomeNotRun)
 }
+
+// Guards against a response that is cut because its caller does not read it, and has
+// no log line.
+func TestAbortLogsResponsesThatAreCut(t *testing.T) {
+	var log bytes.Buffer
+	written := make(chan struct{})
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, 7<<20)) }, func(c *Config) {
+		c.Logger = zerolog.New(&log)
+		c.Dispatcher = closeAfter(c.Dispatcher, written)
+	})
+	c := dialGateway(t, h.address)
+	_, err := c.Write([]byte(openRequest))
+	require.NoError(t, err)
+	<-written
+	h.draining.Store(true)
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Equal(t, 1, h.Drain(over))
+	require.Equal(t, 1, h.Abort(over))
+	require.Regexp(t, `"request":"[-0-9a-f]+","age":.*"route":"open",.*"passed_on":true,"upstream":"u1","message":"response cut by the planned stop"`, log.String())
+	require.Equal(t, StopCounts{Connections: 1, Requests: 1}, h.StopCounts())
+	var open *OpenConnectionsError
+	require.ErrorAs(t, h.Shutdown(over), &open)
+}
--- a/host/drain.go
+++ b/host/drain.go
@@ -64,13 +64,16 @@
 	h.state.drainSince.Store(int64(now.Instant))
 	run := h.settings.Drain.Timeout - h.finalAnswerTime()
 	h.state.stopPlan.Store(&gateway.StopPlan{End: now.Instant.Add(run), Reserve: h.settings.Drain.Timeout / 2})
-	h.log.Info().Msg("planned stop begins")
+	counts := h.gateway.StopCounts()
+	h.log.Info().Int("connections", counts.Connections).Int("requests", counts.Requests).
+		Dur("timeout", h.settings.Drain.Timeout).Msg("planned stop begins")
 	h.record(now, machine.Event{Kind: "drain.begin", Text: "planned stop begins"})
 	bound, cancel := context.WithTimeout(stop, run)
 	defer cancel()
 	if !h.loop.Post(h.modules.membership, membership.Leave{}) {
 		h.log.Error().Msg("control loop did not take the leave request")
 	}
+	defer h.logStopEnd(now.Instant)
 	left := h.waitForHandover(bound)
 	unanswered := h.finishRequests(bound, h.finalAnswerTime())
 	switch {
@@ -97,6 +100,15 @@
 	return min(maxFinalAnswerTime, h.settings.Drain.Timeout/4)
 }
 
+// logStopEnd logs what became of the requests of a stopping host.
+func (h *Host) logStopEnd(began machine.Instant) {
+	counts := h.gateway.StopCounts()
+	h.log.Info().Int("connections", counts.Connections).Int("cut", counts.Requests).
+		Int64("refused", counts.Refused).Int64("passed_on_late", counts.LateRequests).
+		Int64("ended", counts.Ended).Int64("lines_omitted", counts.LinesOmitted).
+		Dur("took", h.clock.Now().Instant.Sub(began)).Msg("planned stop ends")
+}
+
 // finishRequests refuses new requests and waits for the running ones until the bound.
 // It ends the others with a final answer, for which it waits for answerTime more. It
 // returns the number of requests that had no response at the bound.
@@ -111,9 +123,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	if cut := h.gateway.Abort(ctx); cut > 0 {
-		h.log.Warn().Int("requests", cut).Msg("requests have no whole response at the end of the planned stop")
-	}
+	h.gateway.Abort(ctx)
 	return unanswered
 }
 
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -117,6 +117,8 @@
 	assert.Contains(t, line, `"passed_on":true`)
 	assert.Contains(t, line, `"upstream":"katalog-ordre-`)
 	assert.Contains(t, line, `"age":`)
+	assert.Regexp(t, `"connections":1,"requests":1,.*"planned stop begins"`, f.Hosts[0].Process.Log())
+	assert.Regexp(t, `"cut":0,"refused":0,"passed_on_late":0,"ended":1,.*"planned stop ends"`, f.Hosts[0].Process.Log())
 }
 
 // Guards against a planned stop that counts a request as finished while its response
