Docs: how `serve` ends a planned stop

What readers saw: the pages said that a planned stop cuts no request, and that requests which outlast it are cut; nothing on what is refused, what its log lines carry, and how long the service manager has to wait. The reason for `deadline-exceeded` that `explain` prints names the planned stop too.

--- a/requestlog/sentence.go
+++ b/requestlog/sentence.go
@@ -100,7 +100,7 @@
 	problem.KindNotReady:              "The host had no configuration yet.",
 	problem.KindUpstreamFailed:        "The upstreams that were tried failed.",
 	problem.KindResponseTruncated:     "The upstream's response was shorter than announced and is never passed on.",
-	problem.KindDeadlineExceeded:      "The bound of the caller or of the route was reached.",
+	problem.KindDeadlineExceeded:      "The bound of the caller or of the route was reached, or the host ended the request at the end of a planned stop.",
 }
 
 // Reason returns the explanation of a kind of refusal; empty for an unknown kind.
