--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -86,6 +86,31 @@
 	require.EqualValues(t, 4, h.limiter.refunded.Load())
 }
 
+// Guards against a configuration that ends running requests: one without their route,
+// their customer and their key.
+func TestRunningRequestOutlivesItsRouteAndKey(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, func(ctx *fasthttp.RequestCtx) {
+		close(arrived)
+		<-answer
+		echo(ctx)
+	}, nil)
+	c := dialGateway(t, h.address)
+	_, err := c.Write([]byte("POST /orders HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + h.key.Reveal() +
+		"\r\nContent-Length: 1\r\n" + idempotencyHeader + "\r\nx"))
+	require.NoError(t, err)
+	<-arrived
+	empty := &configuration.Snapshot{Revision: 2}
+	empty.Index()
+	h.snapshot.Store(empty)
+	requireProblem(t, h.send(t, "POST", "/orders", "Idempotency-Key: k2\r\n", ""), problem.KindRouteUnknown, problem.OutcomeNotRun)
+	close(answer)
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(bufio.NewReader(c)))
+	require.Equal(t, "echo x", string(response.Body()))
+	require.Equal(t, []string{"complete"}, h.claimer.endings())
+}
+
 // Guards against a repeated operation that runs again or gets another response.
 func TestRepeatedOperation(t *testing.T) {
 	var runs atomic.Int64
