Gateway: a refusal of ambiguous framing is not reset

What callers saw: a caller whose request has ambiguous framing, and that had sent more behind it, could lose the refusal: the connection was reset after it. Cause: as for pipelined requests in a stop, the connection was closed with unread bytes; lingering was enabled for parse errors only, and these requests parse. On this machine the refusal itself still arrived before the reset. Why it works: the connection lingers as after other refused requests.

--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -230,3 +231,19 @@
 		require.Contains(t, body, line)
 	}
 }
+
+// Guards against a refusal that is lost because its connection is reset: the caller has
+// sent more than was read.
+func TestRefusalOfAmbiguousFramingIsDelivered(t *testing.T) {
+	h := newHarness(t, echo, nil)
+	c := dialGateway(t, h.address)
+	_, err := c.Write([]byte("POST /open HTTP/1.1\r\nHost: g\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		strings.Repeat("a", 4*DefaultHeaderBytes)))
+	require.NoError(t, err)
+	reader := bufio.NewReader(c)
+	response := &fasthttp.Response{}
+	require.NoError(t, response.Read(reader))
+	requireProblem(t, response, problem.KindMalformed, problem.OutcomeNotRun)
+	_, err = reader.ReadByte()
+	require.Equal(t, io.EOF, err)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,7 @@
 	defer c.recoverPanic()
 	if err := checkFraming(&ctx.Request.Header); err != nil {
 		ctx.SetConnectionClose()
+		lingerOnClose(ctx.Conn())
 		c.refuse(err)
 		return
 	}
