--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.checkTimeLeft(timeout); err != nil {
+		return err
+	}
 	fingerprint := dispatch.Fingerprint(f.caller.customerID(), f.route.Name, f.ctx.Method(), target, body)
 	if f.g.Quarantined(fingerprint) {
 		return problem.NotRun(problem.KindQuarantined, "requests like this one crashed upstreams").WithRetryAfter(quarantineRetryAfter)
@@ -133,6 +136,9 @@
 	if !f.atMostOnce() {
 		defer watchDisconnect(f.ctx.Conn(), cancel)()
 	}
+	if !f.cancelOnAbort(cancel) {
+		return problem.NotRun(problem.KindDraining, "the entry host is stopping; use another one")
+	}
 	f.request = &dispatch.Request{
 		ID:          f.id,
 		Route:       f.route,
@@ -149,6 +155,7 @@
 	if f.needsLease() {
 		f.request.Lease = f.g.Lease
 	}
+	f.dispatched.Store(f.request)
 	return f.admitAndRun(ctx, operationKey)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -22,6 +24,7 @@
 	defer c.recoverPanic()
 	if err := checkFraming(&ctx.Request.Header); err != nil {
 		ctx.SetConnectionClose()
+		lingerOnClose(ctx.Conn())
 		c.refuse(err)
 		return
 	}
@@ -37,7 +40,7 @@
 		return
 	}
 	if err := c.forward(path); err != nil {
-		c.refuse(err)
+		c.refuse(c.endedByStop(err))
 		return
 	}
 	c.finish()
@@ -56,11 +59,19 @@
 	// have passed.
 	request *dispatch.Request
 	trace   *requestlog.Trace
+
+	// The following fields may be used by any goroutine. aborted is true once the
+	// request has to end because the host stops, cancel ends its exchange, and
+	// dispatched is request.
+	aborted    atomic.Bool
+	cancel     atomic.Pointer[context.CancelFunc]
+	dispatched atomic.Pointer[dispatch.Request]
 }
 
 func newCall(g *Gateway, ctx *fasthttp.RequestCtx) *call {
 	c := &call{g: g, ctx: ctx, id: uuid.NewString(), started: time.Now()}
 	c.trace = requestlog.Acquire(c.id, c.started)
+	answering(ctx.Conn(), c)
 	return c
 }
 
@@ -87,6 +98,9 @@
 	}
 	writeProblem(c.ctx, c.id, refused)
 	c.closeIfDraining()
+	if refused.Kind == problem.KindDraining && !c.aborted.Load() {
+		c.g.stop.refused.Add(1)
+	}
 	c.g.metrics.refused(refused)
 	c.g.Requests.Finish(c.trace, requestlog.End{
 		Status: refused.Status(), Outcome: refused.Outcome, Kind: refused.Kind, Detail: refused.Detail, Elapsed: time.Since(c.started),
@@ -107,6 +121,7 @@
 func (c *call) closeIfDraining() {
 	if c.g.Draining() {
 		c.ctx.SetConnectionClose()
+		lingerOnClose(c.ctx.Conn())
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -11,8 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/catkinspring/catkinspring/internal/backlog"
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
@@ -84,44 +83,15 @@
 func (s *Server) StopAccepting(l *net.TCPListener) error {
 	err := l.SetDeadline(pastDeadline)
 	s.serving.Wait()
-	raw, rawErr := l.SyscallConn()
-	err = errors.Join(err, rawErr)
-	if rawErr == nil {
-		var backlogErr error
-		err = errors.Join(err, raw.Control(func(fd uintptr) { backlogErr = s.acceptBacklog(int(fd)) }), backlogErr)
-	}
-	return errors.Join(err, l.Close())
-}
-
-// acceptBacklog serves the connections in the backlog of a listener.
-func (s *Server) acceptBacklog(listener int) error {
-	var failed error
 	for {
-		accepted, _, err := unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch {
-		case err == nil:
-			failed = errors.Join(failed, s.startAccepted(accepted))
-		case errors.Is(err, unix.EAGAIN):
-			return failed
-		case !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.ECONNABORTED):
-			return errors.Join(failed, err)
+		raw, acceptErr := backlog.Accept(l)
+		if raw == nil {
+			return errors.Join(err, acceptErr, l.Close())
 		}
+		s.startConn(raw)
 	}
 }
 
-// startAccepted serves a connection that was accepted by a system call.
-func (s *Server) startAccepted(fd int) error {
-	file := os.NewFile(uintptr(fd), "caller")
-	defer func() { _ = file.Close() }()
-	// FileConn duplicates the descriptor.
-	raw, err := net.FileConn(file)
-	if err != nil {
-		return err
-	}
-	s.startConn(raw)
-	return nil
-}
-
 // acceptRetryInterval is the wait after a failed accept.
 const acceptRetryInterval = 20 * time.Millisecond
 
