Crashing requests: count crashes, not upstreams, and refuse after three

Callers saw: a request that crashes the upstream running it went on being passed on. The other way round, a request that was on two upstreams which crashed for their own reasons was refused by all hosts for ten minutes, on the project's own host after a single such crash.

Cause: dispatch/quarantine.go kept the crashes of a fingerprint by the ID of the upstream and asked for two IDs. An upstream that starts again under its ID replaced its earlier crash. Messages of more than about 30 reports were larger than a datagram and were dropped.

Now: evidence is three crashes with the fingerprint in flight and no success between them. Reports are of one crash if they name the same upstream within 2 s, or the same start of it within 10 s (the entry's start time is passed on). Crashes at which a refused fingerprint with more crashes was in flight don't count. The first refusal takes 1 min, later ones 10 and 100, so that an innocent request soon gets an attempt and a guilty one reaches upstreams three more times in three hours. Reports are sent 20 to a message.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -272,8 +272,7 @@
 	inFlight.RecordBroken(e.request.Fingerprint, time.Now())
 	switch d.prober.probe(e.target.Address) {
 	case probeRefused:
-		suspects := inFlight.Suspects(time.Now())
-		d.report(Suspected{Upstream: e.target.Name, Fingerprints: suspects, Alone: len(suspects) == 1})
+		d.report(Suspected{Upstream: e.target.Name, Fingerprints: inFlight.Suspects(time.Now())})
 		return traffic.ResultCrashSuspected
 	case probeResponded:
 		return traffic.ResultConnectionFault
--- a/dispatch/messages.go
+++ b/dispatch/messages.go
@@ -20,8 +20,9 @@
 	ID uint64 `cbor:"5,keyasint"`
 	// AgeMillis is the time since the crash when the message was sent.
 	AgeMillis int64 `cbor:"3,keyasint"`
-	// Alone is true if the reporting host had no other fingerprint in flight there.
-	Alone bool `cbor:"4,keyasint"`
+	// Incarnation identifies the start of the upstream, as the reporting host knew it; 0
+	// if it is unknown.
+	Incarnation int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Suspicions reports crashes to other hosts.
@@ -49,10 +50,10 @@
 // Suspected is the input that reports a crash of an upstream.
 type Suspected struct {
 	Upstream fleet.Upstream
+	// Incarnation identifies the start of the upstream; 0 if it is unknown.
+	Incarnation int64
 	// Fingerprints are those that were in flight there, sorted.
 	Fingerprints []uint64
-	// Alone is true if there was only one.
-	Alone bool
 }
 
 // MachineInput marks Suspected as an input.
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"maps"
@@ -15,36 +16,54 @@
 )
 
 const (
-	// QuarantineTime is how long a crash is counted, and so how long a fingerprint
-	// is quarantined after its last crash.
-	QuarantineTime = 10 * time.Minute
-	// sameCrashWindow is the time within which reports of different hosts about
-	// one upstream are treated as the same crash.
+	// crashesToQuarantine is the number of crashes with a fingerprint in flight after
+	// which its requests are refused. Two are not enough: upstreams also crash for other
+	// reasons, and a request may have been at both of them by chance.
+	crashesToQuarantine = 3
+	// suspicionTime is how long crashes are counted if no other one follows.
+	suspicionTime = 10 * time.Minute
+	// firstRefusal is how long a fingerprint is refused after its third crash, in case it
+	// was in flight by chance each time. Each further crash takes refusalFactor times as
+	// long, up to maxRefusal, so that a request that is repeated for hours reaches
+	// upstreams three more times only.
+	firstRefusal  = time.Minute
+	refusalFactor = 10
+	maxRefusal    = 100 * time.Minute
+	// maxCrashAge is the longest time for which a crash is kept.
+	maxCrashAge = maxRefusal + suspicionTime
+	// minUptime is the shortest time between two crashes of one upstream. A crash breaks
+	// all requests in flight within a round trip, and a start takes longer than that.
+	minUptime = crashWindow
+	// sameCrashWindow is the time within which reports of different hosts about one
+	// incarnation of an upstream are treated as the same crash. Later ones are not: the
+	// hosts' copy of the upstream's entry may be older than its last start.
 	sameCrashWindow = 10 * time.Second
-	// crashesToQuarantine is the number of upstreams that must have crashed with a
-	// fingerprint in flight if others were in flight too.
-	crashesToQuarantine = 2
-	// maxSuspects limits the fingerprints that are tracked, and the cleared
+	// maxSuspects limits the fingerprints that are tracked, maxCleared the cleared
 	// observations that are kept. A crash has at most as many suspects as the upstream
 	// has slots.
 	maxSuspects = 1024
+	maxCleared  = 8 * maxSuspects
+	// maxCrashes limits the crashes that are kept of one fingerprint.
+	maxCrashes = 8
 	// maxReportsPerCrash limits the IDs that are kept of the reports about one crash.
 	maxReportsPerCrash = 16
-	// clearedRetention is how long a success is kept. It is longer than
-	// QuarantineTime, so that no host can bring back a crash that another one
-	// dropped.
-	clearedRetention = QuarantineTime + time.Minute
+	// clearedRetention is how long a success is kept. It is longer than maxCrashAge, so
+	// that no host can bring back a crash that another one dropped.
+	clearedRetention = maxCrashAge + time.Minute
 	// Anti-entropy: known crashes are resent to a few hosts in turn, because the
 	// first message may be lost and hosts may join later. Two hosts every 5 s and 64
-	// crashes of about 40 bytes each are 1 KB/s at most.
+	// crashes of about 50 bytes each are 1.3 KB/s at most.
 	resendInterval   = 5 * time.Second
 	resendHosts      = 2
 	maxResentCrashes = 64
+	// maxCrashesPerMessage keeps a message within the size of a datagram.
+	maxCrashesPerMessage = 20
 )
 
 // Quarantine decides which requests are refused because they crash upstreams: those
-// that were in flight at two upstreams that crashed, or the only request in flight
-// at one that crashed. It is a machine.Machine.
+// that were in flight at three crashes, of any upstreams, and have not succeeded
+// since. Crashes that another quarantined fingerprint explains don't count. It is a
+// machine.Machine.
 type Quarantine struct {
 	self  fleet.Member
 	table *Table
@@ -59,16 +78,20 @@
 	resendCursor int
 }
 
+// suspect is a fingerprint that was in flight at crashes.
 type suspect struct {
-	crashes     map[fleet.Upstream]crash
+	crashes     []crash
 	quarantined bool
 }
 
 // crash is one crash of an upstream, as one or more hosts observed it.
 type crash struct {
-	at    machine.Instant
-	alone bool
-	ids   []uint64
+	upstream fleet.Upstream
+	// incarnation is that of the upstream as the first reporting host knew it; 0 if
+	// unknown.
+	incarnation int64
+	at          machine.Instant
+	ids         []uint64
 }
 
 // observation is one report of a crash about one fingerprint.
@@ -107,13 +130,14 @@
 }
 
 func (q *Quarantine) suspected(now machine.Instant, in Suspected) []machine.Output {
-	message := Suspicions{}
+	var crashes []Crash
 	id := q.nextID()
 	for _, fingerprint := range in.Fingerprints {
-		q.recordCrash(now, Crash{Fingerprint: fingerprint, Upstream: in.Upstream, ID: id, Alone: in.Alone})
-		message.Crashes = append(message.Crashes, Crash{Fingerprint: fingerprint, Upstream: in.Upstream, ID: id, Alone: in.Alone})
+		report := Crash{Fingerprint: fingerprint, Upstream: in.Upstream, Incarnation: in.Incarnation, ID: id}
+		q.recordCrash(now, report)
+		crashes = append(crashes, report)
 	}
-	return append(q.broadcast(message), q.updateQuarantine()...)
+	return append(sendCrashes(crashes, q.peers), q.updateQuarantine(now)...)
 }
 
 // nextID returns an ID that is unique across incarnations, except for hash
@@ -129,11 +153,11 @@
 		return nil
 	}
 	message := Cleared{Fingerprint: fingerprint}
-	for _, upstream := range slices.Sorted(maps.Keys(s.crashes)) {
-		message.CrashIDs = append(message.CrashIDs, s.crashes[upstream].ids...)
+	for _, c := range s.crashes {
+		message.CrashIDs = append(message.CrashIDs, c.ids...)
 	}
 	q.clear(now, message)
-	return append(q.broadcast(message), q.updateQuarantine()...)
+	return append(q.broadcast(message), q.updateQuarantine(now)...)
 }
 
 func (q *Quarantine) received(now machine.Instant, in machine.Received) []machine.Output {
@@ -153,13 +177,13 @@
 	default:
 		return nil
 	}
-	return append(out, q.updateQuarantine()...)
+	return append(out, q.updateQuarantine(now)...)
 }
 
-// clampAge returns the age in a message, limited to 0 to QuarantineTime. A faulty
+// clampAge returns the age in a message, limited to 0 to maxCrashAge. A faulty
 // peer may send a negative age.
 func clampAge(millis int64) time.Duration {
-	return time.Duration(min(max(millis, 0), QuarantineTime.Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(millis, 0), maxCrashAge.Milliseconds())) * time.Millisecond
 }
 
 func (q *Quarantine) viewChanged(now machine.Instant, view *fleet.View) []machine.Output {
@@ -178,24 +202,18 @@
 	return q.resend(now, joined)
 }
 
+// tick forgets old crashes, ends refusals and resends the known crashes.
 func (q *Quarantine) tick(now machine.Instant) []machine.Output {
-	changed := false
-	for fingerprint, s := range q.suspects {
-		maps.DeleteFunc(s.crashes, func(_ fleet.Upstream, c crash) bool { return now.Sub(c.at) >= QuarantineTime })
-		if len(s.crashes) == 0 {
-			delete(q.suspects, fingerprint)
-			changed = true
-		}
+	if now < q.nextResend {
+		return nil
 	}
+	q.nextResend = now.Add(resendInterval)
 	maps.DeleteFunc(q.cleared, func(_ observation, at machine.Instant) bool { return now.Sub(at) >= clearedRetention })
-	var out []machine.Output
-	if changed {
-		out = q.updateQuarantine()
-	}
-	if now < q.nextResend || len(q.peers) == 0 {
-		return out
+	if len(q.suspects) == 0 {
+		return nil
 	}
-	q.nextResend = now.Add(resendInterval)
+	maps.DeleteFunc(q.suspects, func(_ uint64, s *suspect) bool { return now.Sub(s.lastCrash()) >= s.retention() })
+	out := q.updateQuarantine(now)
 	var targets []fleet.Member
 	for range min(resendHosts, len(q.peers)) {
 		targets = append(targets, q.peers[q.resendCursor%len(q.peers)])
@@ -209,28 +227,33 @@
 	if len(to) == 0 || len(q.suspects) == 0 {
 		return nil
 	}
-	message := Suspicions{}
+	var crashes []Crash
 	for _, quarantined := range []bool{true, false} {
 		for _, fingerprint := range slices.Sorted(maps.Keys(q.suspects)) {
 			s := q.suspects[fingerprint]
 			if s.quarantined != quarantined {
 				continue
 			}
-			for _, upstream := range slices.Sorted(maps.Keys(s.crashes)) {
-				c := s.crashes[upstream]
+			for _, c := range s.crashes {
 				for _, id := range c.ids {
-					message.Crashes = append(message.Crashes, Crash{
-						Fingerprint: fingerprint, Upstream: upstream, ID: id,
-						AgeMillis: now.Sub(c.at).Milliseconds(), Alone: c.alone,
+					crashes = append(crashes, Crash{
+						Fingerprint: fingerprint, Upstream: c.upstream, Incarnation: c.incarnation, ID: id,
+						AgeMillis: now.Sub(c.at).Milliseconds(),
 					})
 				}
 			}
 		}
 	}
-	message.Crashes = message.Crashes[:min(len(message.Crashes), maxResentCrashes)]
+	return sendCrashes(crashes[:min(len(crashes), maxResentCrashes)], to)
+}
+
+// sendCrashes sends reports in as many messages as they need.
+func sendCrashes(crashes []Crash, to []fleet.Member) []machine.Output {
 	var out []machine.Output
-	for _, m := range to {
-		out = append(out, machine.Send{To: m.Host, Message: message})
+	for part := range slices.Chunk(crashes, maxCrashesPerMessage) {
+		for _, m := range to {
+			out = append(out, machine.Send{To: m.Host, Message: Suspicions{Crashes: part}})
+		}
 	}
 	return out
 }
@@ -246,31 +269,47 @@
 // recordCrash records a crash. For several reports about one crash the time of the
 // first one is used, so that relayed ages don't extend a quarantine.
 func (q *Quarantine) recordCrash(now machine.Instant, report Crash) {
-	at := now.Add(-clampAge(report.AgeMillis))
+	reported := crash{
+		upstream: report.Upstream, incarnation: report.Incarnation,
+		at: now.Add(-clampAge(report.AgeMillis)), ids: []uint64{report.ID},
+	}
 	s := q.suspects[report.Fingerprint]
 	if s == nil {
 		if len(q.suspects) >= maxSuspects {
 			return
 		}
-		s = &suspect{crashes: map[fleet.Upstream]crash{}}
+		s = &suspect{}
 		q.suspects[report.Fingerprint] = s
 	}
-	known, ok := s.crashes[report.Upstream]
-	if !ok || at.Sub(known.at) >= sameCrashWindow && !slices.Contains(known.ids, report.ID) {
-		s.crashes[report.Upstream] = crash{at: at, alone: report.Alone, ids: []uint64{report.ID}}
+	i := slices.IndexFunc(s.crashes, func(known crash) bool { return sameCrash(known, reported) })
+	if i < 0 {
+		if len(s.crashes) == maxCrashes {
+			s.crashes = slices.Delete(s.crashes, 0, 1)
+		}
+		s.crashes = append(s.crashes, reported)
+		slices.SortStableFunc(s.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
 		return
 	}
-	known.alone = known.alone && report.Alone
+	known := &s.crashes[i]
 	if len(known.ids) < maxReportsPerCrash && !slices.Contains(known.ids, report.ID) {
-		known.ids = append(slices.Clone(known.ids), report.ID)
+		known.ids = append(known.ids, report.ID)
+	}
+}
+
+// sameCrash reports whether two observations are of one crash of an upstream.
+func sameCrash(a, b crash) bool {
+	if slices.ContainsFunc(a.ids, func(id uint64) bool { return slices.Contains(b.ids, id) }) {
+		return true
 	}
-	s.crashes[report.Upstream] = known
+	apart := a.at.Sub(b.at).Abs()
+	sameIncarnation := a.incarnation != 0 && a.incarnation == b.incarnation
+	return a.upstream == b.upstream && (apart < minUptime || sameIncarnation && apart < sameCrashWindow)
 }
 
 // clear removes crashes after which a fingerprint succeeded.
 func (q *Quarantine) clear(now machine.Instant, message Cleared) {
 	for _, id := range message.CrashIDs {
-		if len(q.cleared) < maxSuspects {
+		if len(q.cleared) < maxCleared {
 			q.cleared[observation{message.Fingerprint, id}] = now
 		}
 	}
@@ -278,30 +317,33 @@
 	if s == nil {
 		return
 	}
-	for upstream, c := range s.crashes {
-		c.ids = slices.DeleteFunc(slices.Clone(c.ids), func(id uint64) bool { return slices.Contains(message.CrashIDs, id) })
-		s.crashes[upstream] = c
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		c.ids = slices.DeleteFunc(c.ids, func(id uint64) bool { return slices.Contains(message.CrashIDs, id) })
 	}
-	maps.DeleteFunc(s.crashes, func(_ fleet.Upstream, c crash) bool { return len(c.ids) == 0 })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return len(c.ids) == 0 })
 	if len(s.crashes) == 0 {
 		delete(q.suspects, message.Fingerprint)
 	}
 }
 
 // updateQuarantine applies the quarantine rule to all suspects and publishes the result.
-func (q *Quarantine) updateQuarantine() []machine.Output {
-	byUpstream := map[fleet.Upstream][]suspicion{}
-	for fingerprint, s := range q.suspects {
-		for upstream, c := range s.crashes {
-			byUpstream[upstream] = append(byUpstream[upstream], suspicion{fingerprint: fingerprint, at: c.at})
-		}
-	}
+func (q *Quarantine) updateQuarantine(now machine.Instant) []machine.Output {
+	// A fingerprint with more crashes explains those that it shares with others, so it
+	// is considered first.
+	order := slices.SortedFunc(maps.Keys(q.suspects), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(len(q.suspects[b].crashes), len(q.suspects[a].crashes)), cmp.Compare(a, b))
+	})
 	var out []machine.Output
+	var culprits []*suspect
 	entries := make(map[uint64]bool, len(q.suspects))
-	for _, fingerprint := range slices.Sorted(maps.Keys(q.suspects)) {
+	for _, fingerprint := range order {
 		s := q.suspects[fingerprint]
-		before := s.quarantined
-		s.quarantined = len(s.crashes) >= crashesToQuarantine || s.crashedAlone(fingerprint, byUpstream)
+		before, crashes := s.quarantined, s.unexplainedCrashes(culprits)
+		s.quarantined = crashes >= crashesToQuarantine && now.Sub(s.lastCrash()) < refusalTime(crashes)
+		if crashes >= crashesToQuarantine {
+			culprits = append(culprits, s)
+		}
 		entries[fingerprint] = s.quarantined
 		if s.quarantined != before {
 			out = append(out, quarantineEvent(fingerprint, s.quarantined))
@@ -311,24 +353,38 @@
 	return out
 }
 
-type suspicion struct {
-	fingerprint uint64
-	at          machine.Instant
-}
-
-// crashedAlone reports whether the fingerprint was the only one in flight at a
-// crash, over all hosts: an upstream that fails by itself often has one request of
-// each of several hosts, and each host reports its own as the only one.
-func (s *suspect) crashedAlone(fingerprint uint64, byUpstream map[fleet.Upstream][]suspicion) bool {
-	for upstream, c := range s.crashes {
-		shared := slices.ContainsFunc(byUpstream[upstream], func(other suspicion) bool {
-			return other.fingerprint != fingerprint && other.at.Sub(c.at).Abs() < sameCrashWindow
+// unexplainedCrashes returns the number of crashes at which none of the culprits with
+// more crashes was in flight.
+func (s *suspect) unexplainedCrashes(culprits []*suspect) int {
+	n := 0
+	for _, c := range s.crashes {
+		explained := slices.ContainsFunc(culprits, func(other *suspect) bool {
+			return len(other.crashes) > len(s.crashes) &&
+				slices.ContainsFunc(other.crashes, func(o crash) bool { return sameCrash(o, c) })
 		})
-		if c.alone && !shared {
-			return true
+		if !explained {
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// lastCrash returns the time of the last crash.
+func (s *suspect) lastCrash() machine.Instant { return s.crashes[len(s.crashes)-1].at }
+
+// retention returns how long the crashes are kept after the last one.
+func (s *suspect) retention() time.Duration { return refusalTime(len(s.crashes)) + suspicionTime }
+
+// refusalTime returns how long a fingerprint is refused after the last of its crashes.
+func refusalTime(crashes int) time.Duration {
+	if crashes < crashesToQuarantine {
+		return 0
+	}
+	d := firstRefusal
+	for range crashes - crashesToQuarantine {
+		d = min(d*refusalFactor, maxRefusal)
+	}
+	return d
 }
 
 func quarantineEvent(fingerprint uint64, quarantined bool) machine.Event {
--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -14,8 +14,8 @@
 }
 
 // reportCrash reports the requests in flight at an upstream that broke their
-// connections and refuses new ones. After two upstreams have crashed under the
-// same fingerprint, all hosts refuse its requests until one of them succeeds.
+// connections and refuses new ones. After three crashes under the same fingerprint, all
+// hosts refuse its requests for a time; see dispatch.Quarantine.
 func (r *request) reportCrash(inFlight *dispatch.UpstreamInFlight) {
 	e := r.e
 	if r.last.Outcome != upstream.Broken || r.last.Unresponsive {
@@ -34,7 +34,7 @@
 	e.log.Warn().Str("upstream", string(r.choice.ID)).Str("request", r.fields.ID).Int("suspects", len(suspects)).Msg("upstream crashed under requests")
 	e.hostMetrics.count("upstreams.crashed")
 	// One crash is not enough for a quarantine: upstreams also crash for other reasons.
-	e.loop.Post(e.modules.quarantine, dispatch.Suspected{Upstream: r.choice.ID, Fingerprints: suspects})
+	e.loop.Post(e.modules.quarantine, dispatch.Suspected{Upstream: r.choice.ID, Incarnation: r.choice.StartedMillis, Fingerprints: suspects})
 }
 
 // reportSuccess clears the fingerprint of a request that succeeded.
--- a/requestlog/sentence.go
+++ b/requestlog/sentence.go
@@ -94,7 +94,7 @@
 	problem.KindRateExceeded:          "The customer's rate and burst, counted over all hosts, were used up, and no host lent a token within 250 ms.",
 	problem.KindNoCapacity:            "No upstream of the pool had room, and the cap on shifts between regions left none elsewhere.",
 	problem.KindQueueFull:             "Too many requests of the customer, or of the host, waited for an upstream already.",
-	problem.KindQuarantined:           "Requests with the same content crashed upstreams and are refused on all hosts for 10 minutes.",
+	problem.KindQuarantined:           "Requests with the same content were in flight at three crashes of upstreams and are refused on all hosts for a minute or longer.",
 	problem.KindLeaseExpired:          "The host had no valid lease: it reached neither the store nor a majority of its cell.",
 	problem.KindDraining:              "The host was in a planned stop.",
 	problem.KindNotReady:              "The host had no configuration yet.",
--- a/steering/pick.go
+++ b/steering/pick.go
@@ -30,6 +30,8 @@
 type Choice struct {
 	upstream.Target
 	Region fleet.Region
+	// StartedMillis identifies the incarnation of the upstream according to its entry.
+	StartedMillis int64
 	// Load is the estimated number of requests at the upstream before this one.
 	Load  float64
 	Slots int
@@ -114,7 +116,7 @@
 	p.picks++
 	return Choice{
 		Target: upstream.Target{ID: c.ID, Address: c.Address},
-		Region: region.name, Load: c.load, Slots: c.Slots, Rank: r.rank(c, region.members), Cold: c.limiter.active(now),
+		Region: region.name, StartedMillis: c.StartedMillis, Load: c.load, Slots: c.Slots, Rank: r.rank(c, region.members), Cold: c.limiter.active(now),
 	}, Chosen
 }
 
