Directory: a restarted host names no hosts that left for good

Cause: gossip took the time of the first list of hosts as a sign of life of every host in it, and the entries of removed hosts stay in the store. The age in a peer's report of a host that had ended was ignored in the same way.

Now a process that joins a running fleet considers a host of its first list dead 2.5 s after it has the list and can send, unless there was a sign of life of it. It asks for digests at once, and hosts answer also one whose entry they have not read yet. A fleet that starts for the first time keeps the 5.5 s, as its hosts learn of each other over seconds. Hosts without a sign of life are no fresh watchers, and notices go to live hosts only: most entries of a list may be of hosts that left.

Why it works: the verdict falls before the process counts as in touch, 4 s after its start. In the model, with 3% of messages lost, one restarted host and all hosts restarting within a second name every live host all the time, in fleets of 12 and 100.

--- a/edge/control.go
+++ b/edge/control.go
@@ -52,7 +52,9 @@
 	}, e.hostMetrics.registry)
 	e.limits = limits.NewTable(e.clock, func(in machine.Input) { e.loop.Post(e.modules.limits, in) })
 	e.modules.gossip = e.loop.Add(control.Module{
-		Name: "gossip", Machine: gossip.New(e.Settings.ID, e.Settings.Location, incarnation), Output: e.gossipOutput,
+		Name: "gossip", Machine: gossip.New(gossip.Config{
+			Host: e.Settings.ID, Location: e.Settings.Location, Incarnation: incarnation, Joins: !e.Settings.FirstStart,
+		}), Output: e.gossipOutput,
 	}, gossip.Messages())
 	e.modules.limits = e.loop.Add(control.Module{
 		Name: "limits", Machine: limits.NewMachine(e.limits, limits.DivideSmall), Output: func(machine.Now, machine.Output) {},
@@ -221,18 +223,19 @@
 
 // isFreshWatcher reports whether this host is one of the fresh watchers. Among the
 // serving hosts sorted by ID, these are the first freshWatchers of different
-// regions.
+// regions. Hosts without a sign of life don't count, because they may have left.
 func (e *Edge) isFreshWatcher(peers []gossip.Peer) bool {
-	if e.now() < machine.Instant(freshWatcherDelay) {
-		return false
-	}
+	return e.now() >= machine.Instant(freshWatcherDelay) && isFreshWatcher(e.Settings.ID, peers)
+}
+
+func isFreshWatcher(self fleet.HostID, peers []gossip.Peer) bool {
 	var regions []fleet.Region
 	for _, p := range peers {
-		if !p.Alive || p.Leaving || slices.Contains(regions, p.Location.Region) {
+		if !p.Alive || !p.Confirmed() || p.Leaving || slices.Contains(regions, p.Location.Region) {
 			continue
 		}
 		regions = append(regions, p.Location.Region)
-		if p.ID == e.Settings.ID {
+		if p.ID == self {
 			return true
 		}
 		if len(regions) == freshWatchers {
--- /dev/null
+++ b/gossip/join_test.go
@@ -0,0 +1,194 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// contactTime is the time after its start from which a process must not name hosts that
+// left for good.
+const contactTime = 4 * time.Second
+
+// remove ends every third host for good. Their entries stay in the list.
+func (r *testFleet) remove() (removed map[fleet.HostID]bool) {
+	removed = map[fleet.HostID]bool{}
+	for i, h := range r.hosts {
+		if i%3 == 1 {
+			r.down[h.ID] = true
+			removed[h.ID] = true
+		}
+	}
+	return removed
+}
+
+func (r *testFleet) named(by fleet.HostID) map[fleet.HostID]bool {
+	named := map[fleet.HostID]bool{}
+	for _, p := range r.peers[by] {
+		if p.Alive {
+			named[p.ID] = true
+		}
+	}
+	return named
+}
+
+// Guards against a process that starts in a running fleet and names hosts that left
+// long ago, because their entries are still in the list.
+func TestRestartedHostNamesNoHostThatLeftLongAgo(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{4, 12, 100} {
+		r := newTestFleet(n, 0.03)
+		r.joins = true
+		r.run(5 * time.Second)
+		removed := r.remove()
+		r.run(10 * time.Second)
+		for _, restarted := range r.hosts {
+			if removed[restarted.ID] || restarted.ID > "h-010" {
+				continue
+			}
+			r.start(restarted)
+			for range 30 {
+				r.run(100 * time.Millisecond)
+				require.GreaterOrEqual(t, r.aliveCount(restarted.ID), n-len(removed), "live hosts must not be left out")
+			}
+			r.run(contactTime - 3*time.Second)
+			for id := range r.named(restarted.ID) {
+				require.False(t, removed[id], "%s of %d names %s", restarted.ID, n, id)
+			}
+			require.Len(t, r.named(restarted.ID), n-len(removed))
+		}
+	}
+}
+
+// Guards against hosts that are left out, and hosts that left and are named again, when
+// all processes start again within a second.
+func TestHostsThatRestartTogetherNameEachOther(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{12, 100} {
+		for seed := range uint64(2) {
+			r := newTestFleet(n, 0.03)
+			r.random = rand.New(rand.NewPCG(seed, 3))
+			r.run(5 * time.Second)
+			removed := r.remove()
+			r.run(10 * time.Second)
+			r.joins = true
+			started := map[fleet.HostID]machine.Instant{}
+			for _, h := range r.hosts {
+				if !removed[h.ID] {
+					r.down[h.ID] = true
+					started[h.ID] = r.now.Add(time.Duration(r.random.Int64N(int64(time.Second))))
+				}
+			}
+			for end := r.now.Add(8 * time.Second); r.now < end; r.run(50 * time.Millisecond) {
+				for _, h := range r.hosts {
+					if !removed[h.ID] && r.down[h.ID] && r.now >= started[h.ID] {
+						r.start(h)
+					}
+				}
+				for id, at := range started {
+					if r.down[id] {
+						continue
+					}
+					named := r.named(id)
+					for other := range started {
+						require.True(t, named[other], "%s leaves out %s", id, other)
+					}
+					require.True(t, r.now < at.Add(contactTime) || len(named) == n-len(removed), "%s names %v", id, named)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a fleet that starts for the first time and whose hosts name few others
+// as long as they have not heard of them.
+func TestStartingFleetNamesAllHostsWhileGossipForms(t *testing.T) {
+	t.Parallel()
+	r := newTestFleet(12, 1)
+	for range 50 {
+		r.run(100 * time.Millisecond)
+		for _, h := range r.hosts {
+			require.Equal(t, 12, r.aliveCount(h.ID))
+		}
+	}
+}
+
+// Guards against a host that is cut off from all others, starts again and names nobody,
+// or only hosts that left.
+func TestRestartedHostThatIsCutOffNamesItself(t *testing.T) {
+	t.Parallel()
+	r := newTestFleet(12, 0)
+	r.run(5 * time.Second)
+	r.remove()
+	r.run(10 * time.Second)
+	r.joins, r.loss = true, 1
+	r.start(r.hosts[0])
+	r.run(contactTime)
+	require.Equal(t, map[fleet.HostID]bool{"h-000": true}, r.named("h-000"))
+	r.loss = 0
+	r.run(3 * time.Second)
+	require.Equal(t, 8, r.aliveCount("h-000"))
+}
+
+// Guards against a report of a host that ended some seconds ago making a process that
+// has just started name it for as long as one that was just seen.
+func TestReportOfADeadHostDoesNotRenewIt(t *testing.T) {
+	t.Parallel()
+	r := newTestFleet(12, 0)
+	r.run(10 * time.Second)
+	dead := r.hosts[1].ID
+	r.down[dead] = true
+	r.run(4 * time.Second)
+	r.joins = true
+	r.start(r.hosts[0])
+	r.run(3 * time.Second)
+	require.Equal(t, 11, r.aliveCount("h-000"))
+}
+
+// Guards against a host that is added to a running fleet and names only itself until
+// the others have its entry.
+func TestAddedHostLearnsOfTheFleetBeforeItIsListed(t *testing.T) {
+	t.Parallel()
+	r := newTestFleet(12, 0.03)
+	r.run(5 * time.Second)
+	removed := r.remove()
+	r.run(10 * time.Second)
+	added := catalog.Host{ID: "h-new", Location: fleet.Location{Region: "a"}}
+	r.joins = true
+	r.start(added)
+	r.hosts = append(r.hosts, added)
+	r.step(added.ID, SetHosts{Hosts: r.hosts})
+	for range 50 {
+		r.run(100 * time.Millisecond)
+		require.GreaterOrEqual(t, r.aliveCount(added.ID), 9)
+	}
+	for id := range r.named(added.ID) {
+		require.False(t, removed[id], id)
+	}
+}
+
+// Guards against notices of changes that reach few hosts at once because most of them
+// go to hosts that left for good.
+func TestNoticesReachLiveHostsAmongManyThatLeft(t *testing.T) {
+	t.Parallel()
+	const n, remaining = 200, 30
+	r := newTestFleet(n, 0)
+	r.run(5 * time.Second)
+	for _, h := range r.hosts[remaining:] {
+		r.down[h.ID] = true
+	}
+	r.run(10 * time.Second)
+	for i, h := range r.hosts[:remaining] {
+		revision := uint64(100 + i)
+		r.step(h.ID, RevisionsObserved{Revisions: []uint64{revision}})
+		for _, other := range r.hosts[:remaining] {
+			require.Equal(t, []uint64{revision}, r.revisions[other.ID], "%s is not notified by %s", other.ID, h.ID)
+		}
+	}
+}
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -29,12 +29,19 @@
 	// three rounds to reach a fleet of 12 and five to reach one of 300. Lookup responses
 	// must not contain a dead host 7 s after its end.
 	deadAfter = 5500 * time.Millisecond
+	// confirmTime is the time after which a process that joins a running fleet considers
+	// a host of its first list dead if there is no sign of life of it: entries of hosts
+	// that left for good stay in the store. It ends before the process counts as in
+	// touch, 4 s after its start, and leaves time for three probes.
+	confirmTime = 2500 * time.Millisecond
 	// probeAfter is the age at which a host is probed directly, as in SWIM (Das, Gupta,
 	// Motivala, 2002): by chance, updates of a few hosts of a large fleet take longer
 	// than deadAfter. It leaves time for three probes. maxProbes limits the probes per
-	// round, which would be many when a region is lost.
-	probeAfter = 3400 * time.Millisecond
-	maxProbes  = 2
+	// round, which would be many when a region is lost; maxFirstProbes limits those of
+	// hosts of which there is no sign of life yet.
+	probeAfter     = 3400 * time.Millisecond
+	maxProbes      = 2
+	maxFirstProbes = 8
 	// maxNotified is the number of hosts of this region, and of the others, that are
 	// notified at once of a planned stop or of a change that their watches may have
 	// missed. Fewer are notified at a host's start, as a whole fleet may start together.
@@ -46,103 +53,6 @@
 	maxRevisions = 16
 )
 
-// digestMessageNumber is from the package's range 750 to 799.
-const digestMessageNumber = 750
-
-// Messages returns the package's message types for the codec.
-func Messages() []machine.MessageType {
-	return []machine.MessageType{machine.TypeOf[Digest]()}
-}
-
-// Entry is the sender's state of one host.
-type Entry struct {
-	// Host is a hash of the host's ID.
-	Host uint32
-	// Incarnation is the encoded part of the incarnation; the rest is zero.
-	Incarnation uint32
-	// AgeMillis is the time since the host was last seen.
-	AgeMillis uint32
-	Leaving   bool
-	// Rate is the arrival rate of requests at the host, in tenths per second.
-	Rate uint32
-}
-
-// Digest is the sender's state of the fleet.
-type Digest struct {
-	_       struct{} `cbor:",toarray"`
-	Entries Entries
-	// Ask requests that the receiver replies with its own digest. Pushed digests alone
-	// reach some hosts late by chance: in a fleet of 300, updates of other regions were
-	// up to 5.5 s old.
-	Ask bool
-	// Revisions are the store revisions of the last changes that any host has seen,
-	// one for each kind of objects that hosts watch.
-	Revisions []uint64
-}
-
-// MessageNumber returns 750.
-func (Digest) MessageNumber() uint16 { return digestMessageNumber }
-
-// SetHosts sets the entry hosts that the store lists.
-type SetHosts struct {
-	Hosts []catalog.Host
-}
-
-// MachineInput marks SetHosts as an input.
-func (SetHosts) MachineInput() {}
-
-// SetSelf sets the state of this host that it reports to the others.
-type SetSelf struct {
-	Leaving bool
-	// Rate is in requests per second.
-	Rate float64
-	// Revisions are those of the last changes that this host has seen.
-	Revisions []uint64
-}
-
-// MachineInput marks SetSelf as an input.
-func (SetSelf) MachineInput() {}
-
-// AnnounceSelf requests that the other hosts are notified of this incarnation.
-type AnnounceSelf struct{}
-
-// MachineInput marks AnnounceSelf as an input.
-func (AnnounceSelf) MachineInput() {}
-
-// RevisionsObserved reports the revisions of changes of which all hosts are notified
-// at once, because their watches may have missed them.
-type RevisionsObserved struct {
-	Revisions []uint64
-}
-
-// MachineInput marks RevisionsObserved as an input.
-func (RevisionsObserved) MachineInput() {}
-
-// Peer is the state of one entry host.
-type Peer struct {
-	catalog.Host
-	// Member has the incarnation that was last received; zero if there is none.
-	Member  fleet.Member
-	Alive   bool
-	Leaving bool
-	// Rate is in requests per second; it is 0 for a host that is not alive.
-	Rate float64
-}
-
-// PeersChanged is the output when peers or revisions have changed.
-type PeersChanged struct {
-	// Peers has all hosts, including this one, sorted by ID.
-	Peers []Peer
-	// Revisions are the highest that any host has reported.
-	Revisions []uint64
-	// Membership is true if the list of hosts, or the liveness, incarnation or leaving
-	// state of one has changed.
-	Membership bool
-}
-
-// MachineOutput marks PeersChanged as an output.
-func (PeersChanged) MachineOutput() {}
-
 // hostState is the last received state of one host.
 type hostState struct {
 	catalog.Host
@@ -151,6 +61,9 @@
 	leaving     bool
 	rate        uint32
 	alive       bool
+	// unconfirmed is true for a host of the first list until there is a sign of life of
+	// it. It may have left long before this process started.
+	unconfirmed bool
 }
 
 // Machine is the gossip state machine.
@@ -158,7 +71,11 @@
 	self     fleet.Member
 	ownEntry Entry
 	location fleet.Location
-	hosts    map[uint32]*hostState
+	joins    bool
+	// listedAt is when the first list of hosts arrived, announcedAt when this host could
+	// first send messages; 0 before.
+	listedAt, announcedAt machine.Instant
+	hosts                 map[uint32]*hostState
 	// revisions are the highest that any host has reported.
 	revisions []uint64
 	// sortedHosts has all hosts sorted by ID; localHosts has those of this region
@@ -183,12 +100,25 @@
 	return i
 }
 
-// New returns a machine for a host whose incarnation is IncarnationOf(incarnation).
-func New(host fleet.HostID, location fleet.Location, incarnation uint32) *Machine {
+// Config is the configuration of a Machine.
+type Config struct {
+	Host     fleet.HostID
+	Location fleet.Location
+	// Incarnation is the encoded part of this host's incarnation.
+	Incarnation uint32
+	// Joins is true if the fleet has been running before. All hosts of the first list are
+	// then expected to answer at once; those of a fleet that starts for the first time
+	// still learn of each other.
+	Joins bool
+}
+
+// New returns the machine of a host.
+func New(c Config) *Machine {
 	return &Machine{
-		self:     fleet.Member{Host: host, Incarnation: IncarnationOf(incarnation)},
-		ownEntry: Entry{Host: hashOf(host), Incarnation: incarnation},
-		location: location,
+		self:     fleet.Member{Host: c.Host, Incarnation: IncarnationOf(c.Incarnation)},
+		ownEntry: Entry{Host: hashOf(c.Host), Incarnation: c.Incarnation},
+		location: c.Location,
+		joins:    c.Joins,
 		hosts:    map[uint32]*hostState{},
 	}
 }
@@ -209,6 +139,9 @@
 	case SetHosts:
 		m.setHosts(at, in.Hosts)
 	case AnnounceSelf:
+		if m.announcedAt == 0 {
+			m.announcedAt = at
+		}
 		m.notifyHosts(maxNotifiedAtStart)
 	case RevisionsObserved:
 		if m.mergeRevisions(in.Revisions) {
@@ -233,6 +166,10 @@
 
 func (m *Machine) setHosts(now machine.Instant, hosts []catalog.Host) {
 	next := make(map[uint32]*hostState, len(hosts))
+	first := m.listedAt == 0
+	if first {
+		m.listedAt = now
+	}
 	m.sortedHosts, m.localHosts, m.remoteHosts, m.remoteRegions = nil, nil, nil, nil
 	byRegion := make(map[fleet.Region][]uint32)
 	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b catalog.Host) int { return cmp.Compare(a.ID, b.ID) })
@@ -240,7 +177,8 @@
 		id := hashOf(h.ID)
 		state := m.hosts[id]
 		if state == nil {
-			state = &hostState{lastSeen: now, alive: true}
+			// A host that is added to the list has just registered.
+			state = &hostState{lastSeen: now, alive: true, unconfirmed: first && m.joins}
 		}
 		state.Host = h
 		next[id] = state
@@ -259,9 +197,9 @@
 	}
 	slices.Sort(m.localHosts)
 	slices.Sort(m.remoteHosts)
-	first := len(m.hosts) == 0
+	wasEmpty := len(m.hosts) == 0
 	m.hosts = next
-	if first {
+	if wasEmpty {
 		m.notifyHosts(maxNotifiedAtStart)
 	}
 	m.publish(true)
@@ -270,8 +208,9 @@
 // tick detects dead hosts and sends the digests and probes of a round.
 func (m *Machine) tick(now machine.Instant) {
 	changed := false
+	confirmUntil := m.confirmUntil()
 	for id, state := range m.hosts {
-		alive := id == m.ownEntry.Host || now.Sub(state.lastSeen) < deadAfter
+		alive := id == m.ownEntry.Host || now.Sub(state.lastSeen) < deadAfter && (!state.unconfirmed || now < confirmUntil)
 		if alive != state.alive {
 			state.alive = alive
 			changed = true
@@ -296,12 +235,25 @@
 	m.publish(false)
 }
 
-// probe requests digests of the live hosts that were seen least recently, including
-// hosts that were never seen.
+// confirmUntil returns until when hosts of the first list without a sign of life count
+// as alive.
+func (m *Machine) confirmUntil() machine.Instant {
+	if m.announcedAt == 0 {
+		return m.listedAt.Add(deadAfter)
+	}
+	return max(m.listedAt, m.announcedAt).Add(confirmTime)
+}
+
+// probe requests digests of the live hosts that were seen least recently, and of hosts
+// of which there is no sign of life yet.
 func (m *Machine) probe(now machine.Instant) {
-	var stale []uint32
+	var stale, unconfirmed []uint32
 	for id, state := range m.hosts {
-		if id != m.ownEntry.Host && state.alive && now.Sub(state.lastSeen) >= probeAfter {
+		switch {
+		case id == m.ownEntry.Host || !state.alive:
+		case state.unconfirmed:
+			unconfirmed = append(unconfirmed, id)
+		case now.Sub(state.lastSeen) >= probeAfter:
 			stale = append(stale, id)
 		}
 	}
@@ -309,20 +261,46 @@
 		return cmp.Or(cmp.Compare(m.hosts[a].lastSeen, m.hosts[b].lastSeen), cmp.Compare(a, b))
 	})
 	for _, id := range stale[:min(len(stale), maxProbes)] {
-		m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: Entries{m.ownEntry}, Ask: true, Revisions: m.revisions}})
+		m.ask(id)
+	}
+	slices.Sort(unconfirmed)
+	for i := range min(len(unconfirmed), maxFirstProbes) {
+		m.ask(unconfirmed[(m.round*maxFirstProbes+i)%len(unconfirmed)])
 	}
 }
 
+// ask requests the digest of a host.
+func (m *Machine) ask(id uint32) {
+	m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: Entries{m.ownEntry}, Ask: true, Revisions: m.revisions}})
+}
+
 // notifyHosts sends this host's own entry to at most limit hosts of this region and
-// limit hosts of the others. The rounds reach the remaining hosts.
+// limit hosts of the others. The rounds reach the remaining hosts. Hosts of which there
+// is no sign of life yet are asked for their digest, up to maxFirstProbes of each list.
 func (m *Machine) notifyHosts(limit int) {
-	for _, list := range [][]uint32{m.localHosts, m.remoteHosts} {
+	for _, list := range [][]uint32{m.liveHosts(m.localHosts), m.liveHosts(m.remoteHosts)} {
 		for i := range min(len(list), limit) {
 			// Each host starts at another index, so that no host is notified by all.
-			to := list[(int(m.ownEntry.Host%uint32(len(list)))+i)%len(list)]
-			m.out = append(m.out, machine.Send{To: m.hosts[to].ID, Message: Digest{Entries: Entries{m.ownEntry}, Revisions: m.revisions}})
+			to := m.hosts[list[(int(m.ownEntry.Host%uint32(len(list)))+i)%len(list)]]
+			ask := to.unconfirmed && i < maxFirstProbes
+			m.out = append(m.out, machine.Send{To: to.ID, Message: Digest{Entries: Entries{m.ownEntry}, Ask: ask, Revisions: m.revisions}})
+		}
+	}
+}
+
+// liveHosts returns the live hosts of a list, or the whole list if there are none. A
+// list may consist mostly of hosts that left for good.
+func (m *Machine) liveHosts(list []uint32) []uint32 {
+	live := make([]uint32, 0, len(list))
+	for _, id := range list {
+		if m.hosts[id].alive {
+			live = append(live, id)
 		}
 	}
+	if len(live) == 0 {
+		return list
+	}
+	return live
 }
 
 // sendDigest sends a digest to one host of a list, selected by a hash of the round.
@@ -393,7 +371,11 @@
 			continue
 		}
 		changed = changed || state.incarnation != e.Incarnation || state.leaving != e.Leaving || !state.alive
-		state.incarnation, state.leaving, state.rate, state.lastSeen = e.Incarnation, e.Leaving, e.Rate, max(seen, state.lastSeen)
+		if state.incarnation != 0 || !state.unconfirmed {
+			seen = max(seen, state.lastSeen)
+		}
+		state.incarnation, state.leaving, state.rate, state.lastSeen = e.Incarnation, e.Leaving, e.Rate, seen
+		state.unconfirmed = false
 		state.alive = now.Sub(state.lastSeen) < deadAfter
 	}
 	if d.Ask {
--- a/gossip/machine_test.go
+++ b/gossip/machine_test.go
@@ -29,6 +29,8 @@
 	revisions    map[fleet.HostID][]uint64
 	sent         int
 	incarnations uint32
+	// joins is true if processes that start from now on join a running fleet.
+	joins bool
 }
 
 func newTestFleet(n int, loss float64) *testFleet {
@@ -48,9 +50,10 @@
 
 func (r *testFleet) start(h catalog.Host) {
 	r.incarnations++
-	r.machines[h.ID] = New(h.ID, h.Location, r.incarnations)
+	r.machines[h.ID] = New(Config{Host: h.ID, Location: h.Location, Incarnation: r.incarnations, Joins: r.joins})
 	r.down[h.ID] = false
 	r.step(h.ID, SetHosts{Hosts: r.hosts})
+	r.step(h.ID, AnnounceSelf{})
 }
 
 func (r *testFleet) step(id fleet.HostID, in machine.Input) {
@@ -243,7 +246,7 @@
 // Guards against failures on unexpected input from a peer that runs another version.
 func TestDigestOfAnyShapeIsAccepted(t *testing.T) {
 	t.Parallel()
-	m := New("h", fleet.Location{Region: "a"}, 1)
+	m := New(Config{Host: "h", Location: fleet.Location{Region: "a"}, Incarnation: 1})
 	m.Step(machine.Now{Instant: second}, SetHosts{Hosts: []catalog.Host{{ID: "h"}, {ID: "i"}}})
 	d := Digest{Entries: Entries{{}, {Host: hashOf("i"), AgeMillis: 1 << 31}}, Revisions: make([]uint64, 1000)}
 	m.Step(machine.Now{Instant: second}, machine.Received{Message: d})
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,6 +25,9 @@
 // DatagramKeySize is the size in bytes of the key that all hosts share.
 const DatagramKeySize = 32
 
+// maxUnlisted bounds the addresses that are kept of hosts that are not listed yet.
+const maxUnlisted = 64
+
 // DatagramConfig is the configuration of Datagrams.
 type DatagramConfig struct {
 	Self   fleet.Member
@@ -47,6 +51,11 @@
 	aead   atomic.Pointer[cipher.AEAD]
 	peers  atomic.Pointer[map[fleet.HostID]netip.AddrPort]
 
+	// unlisted holds the source addresses of authenticated hosts that are not among the
+	// peers, so that a host that has just been added gets answers at once.
+	unlistedMu sync.Mutex
+	unlisted   map[fleet.HostID]netip.AddrPort
+
 	rejected, oversized, failed metrics.Counter
 }
 
@@ -74,7 +83,7 @@
 		oversized: metrics.NewRegisteredCounter("peer.datagrams.oversized", c.Metrics),
 		failed:    metrics.NewRegisteredCounter("peer.datagrams.failed", c.Metrics),
 	}
-	d.peers.Store(&map[fleet.HostID]netip.AddrPort{})
+	d.SetPeers(map[fleet.HostID]netip.AddrPort{})
 	return d, nil
 }
 
@@ -106,12 +115,39 @@
 }
 
 // SetPeers replaces the addresses of the other hosts.
-func (d *Datagrams) SetPeers(peers map[fleet.HostID]netip.AddrPort) { d.peers.Store(&peers) }
+func (d *Datagrams) SetPeers(peers map[fleet.HostID]netip.AddrPort) {
+	d.peers.Store(&peers)
+	d.unlistedMu.Lock()
+	d.unlisted = map[fleet.HostID]netip.AddrPort{}
+	d.unlistedMu.Unlock()
+}
+
+// addressOf returns the address of a host; it is invalid if there is none.
+func (d *Datagrams) addressOf(host fleet.HostID) netip.AddrPort {
+	if address, ok := (*d.peers.Load())[host]; ok {
+		return address
+	}
+	d.unlistedMu.Lock()
+	defer d.unlistedMu.Unlock()
+	return d.unlisted[host]
+}
+
+// learnAddress keeps the source address of a host that is not among the peers.
+func (d *Datagrams) learnAddress(host fleet.HostID, address netip.AddrPort) {
+	if _, ok := (*d.peers.Load())[host]; ok {
+		return
+	}
+	d.unlistedMu.Lock()
+	defer d.unlistedMu.Unlock()
+	if _, known := d.unlisted[host]; known || len(d.unlisted) < maxUnlisted {
+		d.unlisted[host] = address
+	}
+}
 
 // Send sends a message to a host. Without a key, or without an address of the host,
 // the message is dropped and not counted. Every other failure is counted.
 func (d *Datagrams) Send(to fleet.HostID, m machine.Message) {
-	aead, address := d.aead.Load(), (*d.peers.Load())[to]
+	aead, address := d.aead.Load(), d.addressOf(to)
 	if aead == nil || !address.IsValid() {
 		return
 	}
@@ -142,7 +178,7 @@
 func (d *Datagrams) Run() {
 	buffer := make([]byte, MaxDatagramSize+1)
 	for {
-		n, _, err := d.conn.ReadFromUDPAddrPort(buffer)
+		n, source, err := d.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -155,6 +191,7 @@
 			d.rejected.Inc(1)
 			continue
 		}
+		d.learnAddress(from.Host, source)
 		d.config.Receive(from, m)
 	}
 }
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -56,14 +56,32 @@
 	outsider.Send("b", textMessage{Text: "wrong key"})
 	a.Send("c", textMessage{Text: "for another host"})
 	a.Send("b", textMessage{Text: "hello"})
+	require.Equal(t, "a:hello", receive(t, b))
+	require.Empty(t, b.got)
+	require.EqualValues(t, 2, b.count("peer.datagrams.rejected"))
+}
+
+// Guards against a host that has just been added and gets no answers until the others
+// have its entry.
+func TestHostThatIsNotListedYetGetsAnswers(t *testing.T) {
+	a, added := listenDatagrams(t, "a", 1), listenDatagrams(t, "added", 1)
+	a.Send("added", textMessage{Text: "no address yet"})
+	added.SetPeers(map[fleet.HostID]netip.AddrPort{"a": a.Address()})
+	added.Send("a", textMessage{Text: "hello"})
+	require.Equal(t, "added:hello", receive(t, a))
+	a.Send("added", textMessage{Text: "welcome"})
+	require.Equal(t, "a:welcome", receive(t, added))
+}
+
+func receive(t *testing.T, e *datagramEndpoint) string {
+	t.Helper()
 	select {
-	case got := <-b.got:
-		require.Equal(t, "a:hello", got)
+	case got := <-e.got:
+		return got
 	case <-time.After(5 * time.Second):
 		require.Fail(t, "nothing arrived within 5 s")
+		return ""
 	}
-	require.Empty(t, b.got)
-	require.EqualValues(t, 2, b.count("peer.datagrams.rejected"))
 }
 
 // Guards against a message that IP would fragment and lose silently.
