--- a/steering/pick_test.go
+++ b/steering/pick_test.go
@@ -124,6 +124,16 @@
 	require.Greater(t, refused, 200)
 }
 
+// Guards against crashes that can't be told apart because the choice doesn't say which
+// incarnation of the upstream it means.
+func TestChoiceNamesTheIncarnation(t *testing.T) {
+	entries := upstreamsIn(1)
+	entries.Changes[0].Item.StartedMillis = 1234
+	choice, refusal := newTable(0, entries).Pick(1, requestFor("object"))
+	require.Equal(t, Chosen, refusal)
+	require.EqualValues(t, 1234, choice.StartedMillis)
+}
+
 // Guards against a choice whose garbage grows with the fleet.
 func TestPickDoesNotAllocate(t *testing.T) {
 	table, r := newTable(0, upstreamsIn(64, 64, 64)), requestFor("object")
