Crashing requests: check a second time whether an upstream crashed

Cause: one crash was not counted. The host checks at once after the broken connection whether the upstream refuses new ones, and a process that ends may close its listener last: TestCrashThatClosesTheListenerLastIsCounted fails on the code before. Or a host's entry of the upstream was older than its last start, and two reports 9.0 s apart with the same start counted as one crash, as they lay within 10 s.

Evidence: go test -race ./dispatch ./edge ./platform passes.

--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -35,9 +35,10 @@
 	// all requests in flight within a round trip, and a start takes longer than that.
 	minUptime = crashWindow
 	// sameCrashWindow is the time within which reports of different hosts about one
-	// incarnation of an upstream are treated as the same crash. Later ones are not: the
-	// hosts' copy of the upstream's entry may be older than its last start.
-	sameCrashWindow = 10 * time.Second
+	// incarnation of an upstream are treated as the same crash: messages are late by
+	// that much at most. Later ones are not, because the hosts' copy of the upstream's
+	// entry may be older than its last start.
+	sameCrashWindow = 6 * time.Second
 	// maxSuspects limits the fingerprints that are tracked, maxCleared the cleared
 	// observations that are kept. A crash has at most as many suspects as the upstream
 	// has slots.
--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
 )
 
@@ -24,17 +25,42 @@
 		return
 	}
 	inFlight.RecordBroken(r.fingerprint, time.Now())
-	if !e.upstream.RefusesConnections(r.choice.Target) {
-		return
+	b := brokenAttempt{choice: r.choice, request: r.fields.ID, suspects: inFlight.Suspects(time.Now())}
+	if !e.reportIfCrashed(b) {
+		time.AfterFunc(crashRecheckDelay, func() { e.reportIfCrashed(b) })
+	}
+}
+
+// crashRecheckDelay is the time until an upstream that broke a connection is checked
+// again: a process that ends may close its connections before its listener. It is
+// shorter than any start.
+const crashRecheckDelay = 300 * time.Millisecond
+
+// brokenAttempt is an attempt whose upstream broke the connection, and the requests
+// that were in flight there.
+type brokenAttempt struct {
+	choice   steering.Choice
+	request  string
+	suspects []uint64
+}
+
+// reportIfCrashed reports a crash if the upstream refuses connections. It returns false
+// if it doesn't.
+func (e *Edge) reportIfCrashed(b brokenAttempt) bool {
+	if !e.upstream.RefusesConnections(b.choice.Target) {
+		return false
 	}
-	if change := e.steering.Crashed(e.now(), r.choice.ID); change.Description != "" {
-		upstreamChanged(e.log.Info(), change).Str("request", r.fields.ID).Msg("upstream changed")
+	if change := e.steering.Crashed(e.now(), b.choice.ID); change.Description != "" {
+		upstreamChanged(e.log.Info(), change).Str("request", b.request).Msg("upstream changed")
 	}
-	suspects := inFlight.Suspects(time.Now())
-	e.log.Warn().Str("upstream", string(r.choice.ID)).Str("request", r.fields.ID).Int("suspects", len(suspects)).Msg("upstream crashed under requests")
+	e.log.Warn().Str("upstream", string(b.choice.ID)).Str("request", b.request).Int("suspects", len(b.suspects)).Msg("upstream crashed under requests")
 	e.hostMetrics.count("upstreams.crashed")
 	// One crash is not enough for a quarantine: upstreams also crash for other reasons.
-	e.loop.Post(e.modules.quarantine, dispatch.Suspected{Upstream: r.choice.ID, Incarnation: r.choice.StartedMillis, Fingerprints: suspects})
+	crash := dispatch.Suspected{Upstream: b.choice.ID, Incarnation: b.choice.StartedMillis, Fingerprints: b.suspects}
+	if !e.loop.Post(e.modules.quarantine, crash) {
+		e.log.Warn().Str("upstream", string(b.choice.ID)).Msg("crash not counted, the control loop's inbox is full")
+	}
+	return true
 }
 
 // reportSuccess clears the fingerprint of a request that succeeded.
