--- a/review/rig/directory.go
+++ b/review/rig/directory.go
@@ -4,6 +4,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 func init() { cases["directory"] = directoryCase }
@@ -21,68 +23,68 @@
 
 // directoryCase removes a host for good (SIGTERM), kills another one later and asks the
 // directory of its next process once that is in touch.
-func directoryCase(r *rig) (bool, error) {
-	set := &backends{rig: r, work: staleWork}
-	if _, err := set.add("i-0", serviceName, "ost-a", 8); err != nil {
+func directoryCase(r *setup) (bool, error) {
+	set := &rig.Upstreams{Rig: r.Rig, Work: staleWork}
+	if _, err := set.Add("i-0", rig.ServiceName, "ost-a", 8); err != nil {
 		return false, err
 	}
-	r.store.put("config", "main", configuration(oldVersion, keyKept))
-	var hosts []*host
+	r.Store.Put("config", "main", rig.Configuration(oldVersion, rig.KeyKept))
+	var hosts []*rig.Host
 	for _, one := range [][2]string{{"edge-ost-a-1", "ost-a"}, {"edge-ost-a-2", "ost-a"}, {"edge-ost-b-1", "ost-b"}, {"edge-vest-a-1", "vest-a"}} {
-		h, err := r.addHost(one[0], one[1])
+		h, err := r.AddHost(one[0], one[1])
 		if err != nil {
 			return false, err
 		}
 		hosts = append(hosts, h)
-		if err := h.start(true); err != nil {
+		if err := h.Start(true); err != nil {
 			return false, err
 		}
 	}
-	if err := awaitReady(15*time.Second, hosts...); err != nil {
+	if err := rig.AwaitReady(15*time.Second, hosts...); err != nil {
 		return false, err
 	}
 	time.Sleep(contact + 3*time.Second)
 	asked, removed, running := hosts[0], hosts[1], hosts[2]
 	var removedAt time.Time
 	if r.trouble {
-		r.record("SIGTERM to host %s (process %d), which does not come back", removed.name, removed.process.Process.Pid)
-		removed.signal(syscall.SIGTERM)
-		if !removed.wait(grace + time.Second) {
-			removed.signal(syscall.SIGKILL)
-			removed.wait(time.Second)
+		r.Record("SIGTERM to host %s (process %d), which does not come back", removed.Name, removed.Pid())
+		removed.Signal(syscall.SIGTERM)
+		if !removed.Wait(grace + time.Second) {
+			removed.Signal(syscall.SIGKILL)
+			removed.Wait(time.Second)
 		}
 		removedAt = time.Now()
-		r.record("host %s has ended", removed.name)
+		r.Record("host %s has ended", removed.Name)
 		time.Sleep(contact + 3*time.Second + time.Second)
-		r.record("SIGKILL to host %s (process %d)", asked.name, asked.process.Process.Pid)
-		asked.signal(syscall.SIGKILL)
-		asked.wait(time.Second)
+		r.Record("SIGKILL to host %s (process %d)", asked.Name, asked.Pid())
+		asked.Signal(syscall.SIGKILL)
+		asked.Wait(time.Second)
 		time.Sleep(restartAfter)
-		if err := asked.start(false); err != nil {
+		if err := asked.Start(false); err != nil {
 			return false, err
 		}
 	}
-	startedAt, wrong := asked.startedAt, 0
+	startedAt, wrong := asked.StartedAt, 0
 	if !r.trouble {
 		startedAt = time.Now()
 	}
 	for time.Since(startedAt) < askFor {
 		time.Sleep(askInterval)
-		text, err := asked.resolve(zones[asked.zone], asked.zone)
+		text, err := asked.Resolve(rig.Regions[asked.Zone], asked.Zone)
 		if err != nil {
-			r.record("directory of %s: %v", asked.name, err)
+			r.Record("directory of %s: %v", asked.Name, err)
 			continue
 		}
 		verdict := ""
-		if r.trouble && strings.Contains(text, `"`+removed.public+`"`) && strings.Contains(text, `"`+running.public+`"`) {
+		if r.trouble && strings.Contains(text, `"`+removed.Public+`"`) && strings.Contains(text, `"`+running.Public+`"`) {
 			verdict = "names the removed host"
 			if time.Since(startedAt) > contact && time.Since(removedAt) > contact+3*time.Second {
 				wrong++
 				verdict += ", in touch: DRAIN"
 			}
 		}
-		r.record("directory of %s, %.3f s after its start: %s %s", asked.name, time.Since(startedAt).Seconds(), text, verdict)
+		r.Record("directory of %s, %.3f s after its start: %s %s", asked.Name, time.Since(startedAt).Seconds(), text, verdict)
 	}
-	r.record("%d answers of a machine in touch named a host that had been removed over %v before", wrong, contact+3*time.Second)
+	r.Record("%d answers of a machine in touch named a host that had been removed over %v before", wrong, contact+3*time.Second)
 	return wrong > allowedAnswers, nil
 }
--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 func init() { cases["drain"] = drainCase }
@@ -24,8 +26,8 @@
 	// drainWarmup is how long the client sends before the SIGTERM.
 	drainWarmup = 2 * time.Second
 	// Bounds of the deployment.
-	grace   = 6 * time.Second
-	contact = 4 * time.Second
+	grace   = rig.Grace
+	contact = rig.Contact
 	// lateAfterStop is from when on a request is not excused if its backend was still at
 	// work in the last sixth of the grace period.
 	lateAfterStop = 3 * time.Second
@@ -44,32 +46,32 @@
 // drainCase stops a host (SIGTERM) while a client pipelines idempotent requests on an
 // open connection. The client has a directory answer from just before the stop and
 // keeps it three times as long as the answer says.
-func drainCase(r *rig) (bool, error) {
-	set := &backends{rig: r, work: drainWork}
+func drainCase(r *setup) (bool, error) {
+	set := &rig.Upstreams{Rig: r.Rig, Work: drainWork}
 	for i, zone := range []string{"ost-a", "ost-b", "vest-a", "vest-b", "nord-a", "nord-b"} {
-		if _, err := set.add(fmt.Sprintf("i-%d", i), serviceName, zone, 8); err != nil {
+		if _, err := set.Add(fmt.Sprintf("i-%d", i), rig.ServiceName, zone, 8); err != nil {
 			return false, err
 		}
 	}
-	r.store.put("config", "main", configuration(7, keyKept))
-	var hosts []*host
+	r.Store.Put("config", "main", rig.Configuration(7, rig.KeyKept))
+	var hosts []*rig.Host
 	for i, zone := range []string{"ost-a", "vest-a", "nord-a"} {
-		h, err := r.addHost(fmt.Sprintf("edge-%s-%d", zone, i), zone)
+		h, err := r.AddHost(fmt.Sprintf("edge-%s-%d", zone, i), zone)
 		if err != nil {
 			return false, err
 		}
 		hosts = append(hosts, h)
-		if err := h.start(true); err != nil {
+		if err := h.Start(true); err != nil {
 			return false, err
 		}
 	}
-	if err := awaitReady(15*time.Second, hosts...); err != nil {
+	if err := rig.AwaitReady(15*time.Second, hosts...); err != nil {
 		return false, err
 	}
 	// The hosts are in touch once they have run for Contact.
 	time.Sleep(contact + time.Second)
 	target := hosts[0]
-	conn, err := net.Dial("tcp", target.public)
+	conn, err := net.Dial("tcp", target.Public)
 	if err != nil {
 		return false, err
 	}
@@ -79,7 +81,7 @@
 
 	until := time.Now().Add(drainWarmup)
 	c.sendUntil(until)
-	text, err := target.resolve(zones[target.zone], target.zone)
+	text, err := target.Resolve(rig.Regions[target.Zone], target.Zone)
 	if err != nil {
 		return false, err
 	}
@@ -95,18 +97,18 @@
 		return false, err
 	}
 	resolved := time.Now()
-	r.record("directory answer: %s", text)
+	r.Record("directory answer: %s", text)
 	stopped := time.Now()
 	if r.trouble {
-		r.record("SIGTERM to host %s (process %d)", target.name, target.process.Process.Pid)
-		target.signal(syscall.SIGTERM)
+		r.Record("SIGTERM to host %s (process %d)", target.Name, target.Pid())
+		target.Signal(syscall.SIGTERM)
 	}
 	c.sendUntil(resolved.Add(3 * ttl))
-	r.record("the client's directory answer has ended, it sends nothing more")
+	r.Record("the client's directory answer has ended, it sends nothing more")
 	c.awaitEnd(drainDeadline + time.Second)
 	if r.trouble {
-		if !target.wait(3 * time.Second) {
-			r.record("host %s still runs", target.name)
+		if !target.Wait(3 * time.Second) {
+			r.Record("host %s still runs", target.Name)
 		}
 	}
 	return c.judge(set, stopped), nil
@@ -114,7 +116,7 @@
 
 // pipeliningClient is a client with one kept connection.
 type pipeliningClient struct {
-	rig  *rig
+	rig  *setup
 	conn net.Conn
 	// closing is closed when an answer says Connection: close, or the connection ends.
 	closing chan struct{}
@@ -149,11 +151,11 @@
 	p := &pipelined{id: fmt.Sprintf("%016x", time.Now().UnixNano()), sent: time.Now()}
 	c.requests = append(c.requests, p)
 	c.mu.Unlock()
-	c.rig.record("client sends %s", p.id)
+	c.rig.Record("client sends %s", p.id)
 	_, err := fmt.Fprintf(c.conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n",
-		readPath, p.id, hostName, headerRequestID, p.id, headerDeadline, drainDeadline.Milliseconds(), headerCredential, keyKept)
+		rig.ReadPath, p.id, rig.EntryName, rig.HeaderRequestID, p.id, rig.HeaderDeadline, drainDeadline.Milliseconds(), rig.HeaderCredential, rig.KeyKept)
 	if err != nil {
-		c.rig.record("client could not send %s: %v", p.id, err)
+		c.rig.Record("client could not send %s: %v", p.id, err)
 	}
 }
 
@@ -174,7 +176,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			c.rig.record("the client's connection ends: %v", err)
+			c.rig.Record("the client's connection ends: %v", err)
 			if open {
 				close(c.closing)
 			}
@@ -182,9 +184,9 @@
 		}
 		p := c.requests[c.next]
 		c.next++
-		p.answered, p.status, p.whole = time.Now(), answer.StatusCode, answer.Header.Get(headerRequestID) == p.id
+		p.answered, p.status, p.whole = time.Now(), answer.StatusCode, answer.Header.Get(rig.HeaderRequestID) == p.id
 		c.mu.Unlock()
-		c.rig.record("client gets %d for %s, %d bytes, Connection: %q", answer.StatusCode, p.id, len(body), answer.Header.Get("Connection"))
+		c.rig.Record("client gets %d for %s, %d bytes, Connection: %q", answer.StatusCode, p.id, len(body), answer.Header.Get("Connection"))
 		if answer.Close && open {
 			open = false
 			close(c.closing)
@@ -205,10 +207,10 @@
 }
 
 // judge applies LOST around a SIGTERM as RULES.md says it.
-func (c *pipeliningClient) judge(set *backends, stopped time.Time) bool {
+func (c *pipeliningClient) judge(set *rig.Upstreams, stopped time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	runs, lost := set.runs(), 0
+	runs, lost := set.Runs(), 0
 	for _, p := range c.requests {
 		if !p.answered.IsZero() || c.ended.IsZero() {
 			continue
@@ -231,10 +233,10 @@
 			excuse = "LOST"
 		}
 		for _, e := range runs[p.id] {
-			c.rig.record("backend %s began to run %s %.3f s after the SIGTERM", e.backend, e.id, e.started.Sub(stopped).Seconds())
+			c.rig.Record("backend %s began to run %s %.3f s after the SIGTERM", e.Upstream, e.ID, e.Started.Sub(stopped).Seconds())
 		}
-		c.rig.record("request %s, sent %.3f s after the SIGTERM, has no answer; its connection ended %.3f s after it: %s", p.id, afterStop.Seconds(), c.ended.Sub(stopped).Seconds(), excuse)
+		c.rig.Record("request %s, sent %.3f s after the SIGTERM, has no answer; its connection ended %.3f s after it: %s", p.id, afterStop.Seconds(), c.ended.Sub(stopped).Seconds(), excuse)
 	}
-	c.rig.record("%d requests sent, %d answered, %d lost", len(c.requests), c.next, lost)
+	c.rig.Record("%d requests sent, %d answered, %d lost", len(c.requests), c.next, lost)
 	return lost > 0
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -10,8 +10,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 const (
@@ -24,7 +27,32 @@
 const maxCaseTime = 110 * time.Second
 
 // cases are the scripted cases by name. A case returns whether the rule was broken.
-var cases = map[string]func(r *rig) (broken bool, err error){}
+var cases = map[string]func(r *setup) (broken bool, err error){}
+
+// setup is what a case runs with.
+type setup struct {
+	*rig.Rig
+	// trouble is false if the case runs without its disruption.
+	trouble bool
+	output  *os.File
+}
+
+func newSetup(folder string) (*setup, error) {
+	output, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	r, err := rig.New(rig.Options{Program: "target/catkinspring", Output: output})
+	if err != nil {
+		return nil, err
+	}
+	return &setup{Rig: r, trouble: os.Getenv("TROUBLE") != "0", output: output}, nil
+}
+
+func (s *setup) close() {
+	s.Rig.Close()
+	_ = s.output.Close()
+}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -35,7 +63,7 @@
 }
 
 func run(name, folder string) int {
-	r, err := newRig(folder)
+	r, err := newSetup(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannotRun
@@ -56,18 +84,18 @@
 	case v := <-done:
 		switch {
 		case v.err != nil:
-			r.record("the case could not run: %v", v.err)
+			r.Record("the case could not run: %v", v.err)
 			return exitCannotRun
 		case v.broken:
-			r.record("verdict: the rule was broken")
+			r.Record("verdict: the rule was broken")
 			return exitBroken
 		}
-		r.record("verdict: the rule held")
+		r.Record("verdict: the rule held")
 		return exitHeld
 	case <-interrupted:
-		r.record("interrupted")
+		r.Record("interrupted")
 	case <-time.After(maxCaseTime):
-		r.record("the case took too long")
+		r.Record("the case took too long")
 	}
 	return exitCannotRun
 }
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 func init() { cases["poison"] = poisonCase }
@@ -21,40 +23,40 @@
 	// how many may reach a backend.
 	crashesBefore  = 3
 	allowedRetries = 3
-	poisonPath     = writePath + "poison"
+	poisonPath     = rig.WritePath + "poison"
 )
 
 // poisonCase sends a request that crashes each backend that begins to run it, again and
 // again, to the hosts of the client's region. The backends start again under their IDs.
-func poisonCase(r *rig) (bool, error) {
-	set := &backends{rig: r, work: staleWork, newIDs: os.Getenv("NEW_IDS") == "1"}
+func poisonCase(r *setup) (bool, error) {
+	set := &rig.Upstreams{Rig: r.Rig, Work: staleWork, NewIDs: os.Getenv("NEW_IDS") == "1"}
 	if r.trouble {
-		set.poison = poisonPath
+		set.Poison = poisonPath
 	}
 	for _, zone := range []string{"ost-a", "ost-b", "vest-a", "vest-b", "nord-a", "nord-b"} {
 		for i := range 2 {
-			if _, err := set.add(fmt.Sprintf("i-%s-%d", zone, i), serviceName, zone, 3); err != nil {
+			if _, err := set.Add(fmt.Sprintf("i-%s-%d", zone, i), rig.ServiceName, zone, 3); err != nil {
 				return false, err
 			}
 		}
 	}
-	next := configuration(oldVersion, keyKept)
+	next := rig.Configuration(oldVersion, rig.KeyKept)
 	for _, route := range next["Routes"].([]any) {
 		route.(map[string]any)["Sticky"] = true
 	}
-	r.store.put("config", "main", next)
-	var hosts []*host
+	r.Store.Put("config", "main", next)
+	var hosts []*rig.Host
 	for _, name := range []string{"ost-a-1", "ost-b-1", "vest-a-1", "nord-a-1"} {
-		h, err := r.addHost("edge-"+name, name[:len(name)-2])
+		h, err := r.AddHost("edge-"+name, name[:len(name)-2])
 		if err != nil {
 			return false, err
 		}
 		hosts = append(hosts, h)
-		if err := h.start(true); err != nil {
+		if err := h.Start(true); err != nil {
 			return false, err
 		}
 	}
-	if err := awaitReady(15*time.Second, hosts...); err != nil {
+	if err := rig.AwaitReady(15*time.Second, hosts...); err != nil {
 		return false, err
 	}
 	time.Sleep(contact)
@@ -65,42 +67,40 @@
 		}
 		h := local[n%len(local)]
 		id := fmt.Sprintf("poison-%d", n)
-		r.record("client sends POST %s as %s to host %s", poisonPath, id, h.name)
+		r.Record("client sends POST %s as %s to host %s", poisonPath, id, h.Name)
 		status, err := sendPoison(h, id)
-		r.record("client gets %d (error: %v)", status, err)
+		r.Record("client gets %d (error: %v)", status, err)
 	}
 	time.Sleep(time.Second)
 
 	crashes, counted := 0, 0
 	var third time.Time
-	set.mu.Lock()
-	defer set.mu.Unlock()
-	for _, e := range set.executions {
+	for _, e := range set.Executions() {
 		if !r.trouble {
 			continue
 		}
-		if crashes >= crashesBefore && e.started.Sub(third) > contact {
+		if crashes >= crashesBefore && e.Started.Sub(third) > contact {
 			counted++
-			r.record("request %s reached backend %s %.1f s after the third crash: BUDGET", e.id, e.backend, e.started.Sub(third).Seconds())
+			r.Record("request %s reached backend %s %.1f s after the third crash: BUDGET", e.ID, e.Upstream, e.Started.Sub(third).Seconds())
 		}
 		if crashes++; crashes == crashesBefore {
-			third = e.started
+			third = e.Started
 		}
 	}
-	r.record("%d attempts, %d crashes, %d retries reached a backend later than %v after the third crash", repeats, crashes, counted, contact)
+	r.Record("%d attempts, %d crashes, %d retries reached a backend later than %v after the third crash", repeats, crashes, counted, contact)
 	return counted > allowedRetries, nil
 }
 
 // sendPoison sends one attempt on a new connection.
-func sendPoison(h *host, id string) (int, error) {
-	conn, err := net.DialTimeout("tcp", h.public, time.Second)
+func sendPoison(h *rig.Host, id string) (int, error) {
+	conn, err := net.DialTimeout("tcp", h.Public, time.Second)
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3500\r\n%s: %s\r\nCookie: X-Catkinspring-Affinity-Key=17\r\nContent-Length: 4\r\n\r\nbody",
-		poisonPath, hostName, headerRequestID, id, headerDeadline, headerCredential, keyKept)
+		poisonPath, rig.EntryName, rig.HeaderRequestID, id, rig.HeaderDeadline, rig.HeaderCredential, rig.KeyKept)
 	if err != nil {
 		return 0, err
 	}
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 func init() { cases["quota"] = quotaCase }
@@ -33,16 +35,16 @@
 
 // quotaCase cuts two hosts off from the store, adds machines at once, and counts what all
 // hosts together admit of each tenant.
-func quotaCase(r *rig) (bool, error) {
-	set := &backends{rig: r, work: time.Millisecond}
+func quotaCase(r *setup) (bool, error) {
+	set := &rig.Upstreams{Rig: r.Rig, Work: time.Millisecond}
 	for i, zone := range []string{"ost-a", "ost-b", "vest-a", "vest-b", "nord-a", "nord-b"} {
 		for n := range 2 {
-			if _, err := set.add(fmt.Sprintf("i-%d-%d", i, n), serviceName, zone, 64); err != nil {
+			if _, err := set.Add(fmt.Sprintf("i-%d-%d", i, n), rig.ServiceName, zone, 64); err != nil {
 				return false, err
 			}
 		}
 	}
-	next := configuration(oldVersion)
+	next := rig.Configuration(oldVersion)
 	var tenants []any
 	for n := range quotaTenants {
 		tenants = append(tenants, map[string]any{
@@ -51,19 +53,19 @@
 		})
 	}
 	next["Tenants"] = tenants
-	r.store.put("config", "main", next)
-	var hosts []*host
+	r.Store.Put("config", "main", next)
+	var hosts []*rig.Host
 	for _, name := range []string{"ost-a-1", "ost-b-1", "vest-a-1", "vest-b-1", "nord-a-1", "nord-b-1"} {
-		h, err := r.addHost("edge-"+name, name[:len(name)-2])
+		h, err := r.AddHost("edge-"+name, name[:len(name)-2])
 		if err != nil {
 			return false, err
 		}
 		hosts = append(hosts, h)
-		if err := h.start(true); err != nil {
+		if err := h.Start(true); err != nil {
 			return false, err
 		}
 	}
-	if err := awaitReady(15*time.Second, hosts...); err != nil {
+	if err := rig.AwaitReady(15*time.Second, hosts...); err != nil {
 		return false, err
 	}
 	time.Sleep(contact)
@@ -71,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group sync.WaitGroup
-	load := func(h *host) {
+	load := func(h *rig.Host) {
 		for n := range quotaTenants {
 			group.Add(1)
 			go func() {
@@ -84,21 +86,21 @@
 		load(h)
 	}
 	time.Sleep(quotaWindow + time.Second)
-	cut := []*host{hosts[0], hosts[2]}
+	cut := []*rig.Host{hosts[0], hosts[2]}
 	for _, h := range cut {
 		if r.trouble {
-			r.record("host %s is cut off from the store, silently", h.name)
-			h.door.partition()
+			r.Record("host %s is cut off from the store, silently", h.Name)
+			h.Door.Partition()
 		}
 	}
 	cutAt := time.Now()
 	time.Sleep(addAfter)
 	for _, name := range []string{"ost-a-2", "ost-b-2", "vest-a-2", "vest-b-2", "nord-a-2", "nord-b-2"} {
-		h, err := r.addHost("edge-"+name, name[:len(name)-2])
+		h, err := r.AddHost("edge-"+name, name[:len(name)-2])
 		if err != nil {
 			return false, err
 		}
-		if err := h.start(false); err != nil {
+		if err := h.Start(false); err != nil {
 			return false, err
 		}
 		load(h)
@@ -108,8 +110,8 @@
 		if !r.trouble {
 			break
 		}
-		r.record("host %s reaches the store again", h.name)
-		h.door.heal()
+		r.Record("host %s reaches the store again", h.Name)
+		h.Door.Heal()
 	}
 	time.Sleep(quotaWindow)
 	cancel()
@@ -118,10 +120,8 @@
 	allowed := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOver) + quotaSlack
 	broken := false
 	byTenant := map[string][]time.Time{}
-	set.mu.Lock()
-	defer set.mu.Unlock()
-	for _, e := range set.executions {
-		byTenant[e.tenant] = append(byTenant[e.tenant], e.started)
+	for _, e := range set.Executions() {
+		byTenant[e.Customer] = append(byTenant[e.Customer], e.Started)
 	}
 	for n := range quotaTenants {
 		most, from := busiestWindow(byTenant[quotaTenant(n)])
@@ -129,7 +129,7 @@
 		if float64(most) > allowed {
 			verdict, broken = ": QUOTA", true
 		}
-		r.record("tenant %s: %d requests ran, at most %d in %v, from %.2f s after the cut; allowed are %.0f%s",
+		r.Record("tenant %s: %d requests ran, at most %d in %v, from %.2f s after the cut; allowed are %.0f%s",
 			quotaTenant(n), len(byTenant[quotaTenant(n)]), most, quotaWindow, from.Sub(cutAt).Seconds(), allowed, verdict)
 	}
 	return broken, nil
@@ -154,21 +154,21 @@
 
 // sendTenant sends requests of a tenant to a host on a kept connection until the context
 // ends.
-func sendTenant(ctx context.Context, h *host, tenant string) {
+func sendTenant(ctx context.Context, h *rig.Host, tenant string) {
 	var conn net.Conn
 	var reader *bufio.Reader
-	for n := 0; sleep(ctx, quotaInterval); n++ {
+	for n := 0; rig.Sleep(ctx, quotaInterval); n++ {
 		if conn == nil {
-			opened, err := net.DialTimeout("tcp", h.public, time.Second)
+			opened, err := net.DialTimeout("tcp", h.Public, time.Second)
 			if err != nil {
 				continue
 			}
 			conn, reader = opened, bufio.NewReader(opened)
 		}
 		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-		id := fmt.Sprintf("%s-%s-%d", h.name, tenant, n)
+		id := fmt.Sprintf("%s-%s-%d", h.Name, tenant, n)
 		_, err := fmt.Fprintf(conn, "GET %s%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 2500\r\n%s: key-of-%s\r\n\r\n",
-			readPath, n, hostName, headerRequestID, id, headerDeadline, headerCredential, tenant)
+			rig.ReadPath, n, rig.EntryName, rig.HeaderRequestID, id, rig.HeaderDeadline, rig.HeaderCredential, tenant)
 		var answer *http.Response
 		if err == nil {
 			answer, err = http.ReadResponse(reader, nil)
