--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -109,18 +109,22 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
+	if !c.writeClosed && upstream.UnsentBytes(c.raw) > 0 {
+		c.closeWrite()
+	}
 	if c.writeClosed {
 		c.linger()
 	}
 }
 
-// linger discards what the caller still sends. Closing a connection with unread
-// bytes would reset it, and the caller might lose the last response.
+// linger discards what the caller still sends, at most until writeTimeout has passed or
+// the caller has the last response. Closing a connection with unread bytes would reset
+// it, and the caller might lose that response.
 func (c *conn) linger() {
 	for end := time.Now().Add(writeTimeout); ; {
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
 		_, err := io.Copy(io.Discard, c.raw)
-		if !isTimeout(err) || !hasUnsentBytes(c.raw) || time.Now().After(end) {
+		if !isTimeout(err) || upstream.UnsentBytes(c.raw) == 0 || time.Now().After(end) {
 			return
 		}
 	}
@@ -158,12 +162,11 @@
 }
 
 // watchForDisconnect cancels the accepted requests if the caller disconnects before
-// the last response.
+// the last response. What it sends behind the last request is discarded.
 func (c *conn) watchForDisconnect() {
-	c.limit.start(1, &HeaderTooLargeError{})
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, net.ErrClosed) {
+		if _, err := io.Copy(io.Discard, c.raw); !errors.Is(err, net.ErrClosed) {
 			c.cancel()
 		}
 	}()
