limits: divide by the lists of hosts that the store records

Cause: each host divided a limit by its own copy of the list of hosts. Added hosts waited 2.24 s and then assumed that all others had the same list; one that was cut off did not.

Why it works: a host records in its entry the list by which it divides, once the loans of a larger share have ended. The part of a host never grows with the list, so what it recorded bounds what it holds while it is out of touch. A host takes up its part as far as the bounds of all hosts that recorded before it leave room; see allotment.

Quota holders of small bursts: their number may no longer depend on the number of hosts, since a holder's share must not grow with the list.

--- a/catalog/entries.go
+++ b/catalog/entries.go
@@ -33,6 +33,19 @@
 	// hosts.
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
+	// Generation is the Registered of the last host in the list by which the host divides
+	// the limits; 0 before its first record. Joined is the store revision of that record.
+	Generation uint64 `json:"generation,omitempty"`
+	Joined     uint64 `json:"joined,omitempty"`
+	// Registered is the store revision that created the entry, Revision that of its last
+	// change; both are 0 for an entry that is not in the store.
+	Registered uint64 `json:"-"`
+	Revision   uint64 `json:"-"`
+}
+
+// SamePlace reports whether two entries are of the same host at the same addresses.
+func (h Host) SamePlace(other Host) bool {
+	return h.ID == other.ID && h.Location == other.Location && h.Callers == other.Callers && h.Peers == other.Peers
 }
 
 // Evacuation stops all requests to the upstreams of a failure domain.
--- a/edge/control.go
+++ b/edge/control.go
@@ -55,7 +55,7 @@
 		Name: "gossip", Machine: gossip.New(e.Settings.ID, e.Settings.Location, incarnation), Output: e.gossipOutput,
 	}, gossip.Messages())
 	e.modules.limits = e.loop.Add(control.Module{
-		Name: "limits", Machine: limits.NewMachine(e.limits, limits.DivideSmall), Output: func(machine.Now, machine.Output) {},
+		Name: "limits", Machine: limits.NewRecordedMachine(e.limits), Output: e.limitsOutput,
 	}, limits.Messages())
 	e.modules.quarantine = e.loop.Add(control.Module{
 		Name: "quarantine", Machine: dispatch.NewQuarantine(e.member, e.quarantine), Output: func(machine.Now, machine.Output) {},
@@ -77,7 +77,7 @@
 	e.Settings.Listen.Peers = datagrams.Address()
 	// The share of the limits belongs to the host: a process starts at its address
 	// only after the previous one has ended. So the process holds the share until it
-	// exits, and the store's list of hosts is the only record of it.
+	// exits, and the hosts' entries in the store are the only record of it.
 	e.loop.Post(e.modules.limits, machine.LeaseChanged{ValidUntil: machine.Instant(math.MaxInt64 / 2)})
 	return nil
 }
@@ -267,6 +267,7 @@
 		v.Members = append(v.Members, fleet.ViewMember{
 			Member: fleet.Member{Host: p.ID, Incarnation: p.Member.Incarnation}, Location: p.Location, State: state,
 			PeerAddress: p.Peers, CallerAddress: p.Callers, Reachable: p.Alive,
+			Registered: p.Registered, Joined: p.Joined, ConfirmedGeneration: p.Generation,
 			Weight: uint32(fleet.TotalWeight / len(regions) / regions[p.Location.Region]),
 		})
 	}
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -21,7 +21,7 @@
 
 // ready reports whether the host can serve requests.
 func (e *Edge) ready() bool {
-	return !e.draining.Load() && e.snapshot.Load() != nil && e.steering.UpstreamCount() > 0 && e.peers.Load() != nil && e.limits.HasShare()
+	return !e.draining.Load() && e.snapshot.Load() != nil && e.steering.UpstreamCount() > 0 && e.peers.Load() != nil && e.limits.Joined()
 }
 
 func (e *Edge) readinessHandler() http.Handler {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,7 +48,7 @@
 	Upstreams(domains map[fleet.FailureDomain]fleet.Region) catalog.Source[catalog.Upstream]
 	Evacuations() catalog.Source[catalog.Evacuation]
 	Hosts() catalog.Source[catalog.Host]
-	// PutHost writes a host's own entry; it is idempotent.
+	// PutHost writes a host's own entry in place of its Revision; it is idempotent.
 	PutHost(ctx context.Context, h catalog.Host) error
 	// SharedKey returns the key that all entry hosts share, which encrypts and
 	// authenticates the messages between them; nil if there is none yet or if it was
@@ -106,6 +106,10 @@
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil until the first list arrives.
 	hosts atomic.Pointer[[]catalog.Host]
+	// settled is the division of the limits that may be recorded, and registrationDue
+	// wakes register after a change.
+	settled         atomic.Uint64
+	registrationDue chan struct{}
 	// peers are the entry hosts with their state according to gossip.
 	peers    atomic.Pointer[[]gossip.Peer]
 	draining atomic.Bool
@@ -140,11 +144,12 @@
 			MaxRegionShift: b.MaxRegionShift, ColdTolerance: b.ColdTolerance, ColdSlack: b.ColdSlack,
 			EntryLapse: o.Settings.EntryLapse,
 		}),
-		budget:      steering.NewRetryBudget(budgetConfig(o.Settings)),
-		hostMetrics: newHostMetrics(),
-		quarantine:  &dispatch.Table{},
-		logSink:     o.LogSink,
-		upstream:    upstream.NewClient(o.Codec, responseMemoryBytes),
+		budget:          steering.NewRetryBudget(budgetConfig(o.Settings)),
+		hostMetrics:     newHostMetrics(),
+		registrationDue: make(chan struct{}, 1),
+		quarantine:      &dispatch.Table{},
+		logSink:         o.LogSink,
+		upstream:        upstream.NewClient(o.Codec, responseMemoryBytes),
 	}
 	for i := range e.progress {
 		e.progress[i].relist = make(chan struct{}, 1)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -143,9 +143,10 @@
 
 // firstListConsistency returns the consistency of the first list of a process. A
 // process that restarts under traffic must not start with a configuration that is
-// seconds old.
-func (e *Edge) firstListConsistency() catalog.Consistency {
-	if e.Settings.FirstStart {
+// seconds old, and none with a list of hosts older than one that its predecessor
+// recorded.
+func (e *Edge) firstListConsistency(k kind) catalog.Consistency {
+	if e.Settings.FirstStart && k != kindHosts {
 		return catalog.Stale
 	}
 	return catalog.Latest
@@ -164,7 +165,7 @@
 	p := &e.progress[k]
 	options := catalog.Options{
 		Relist:        p.relist,
-		FirstList:     e.firstListConsistency(),
+		FirstList:     e.firstListConsistency(k),
 		CoalesceDelay: coalesceDelays[k],
 		Watch:         func() (time.Duration, catalog.Consistency) { return e.watchMode(k) },
 		Progress: func(complete, changed uint64) {
@@ -277,12 +278,13 @@
 	for _, h := range all {
 		list = append(list, h)
 	}
-	if e.hosts.Load() == nil && slices.Contains(list, e.ownEntry()) {
+	if e.hosts.Load() == nil && slices.ContainsFunc(list, e.ownEntry().SamePlace) {
 		// An earlier process was registered at this address. It has ended, because the
 		// platform runs one process at a time on a machine.
 		e.loop.Post(e.modules.limits, limits.Succession{})
 	}
 	e.hosts.Store(&list)
+	e.wakeRegistration()
 	e.steering.SetHosts(list)
 	sharing := len(list)
 	if !slices.ContainsFunc(list, func(h catalog.Host) bool { return h.ID == e.Settings.ID }) {
@@ -296,30 +298,6 @@
 	e.log.Info().Int("hosts", len(list)).Uint64("store", revision).Msg("registered hosts changed")
 }
 
-// ownEntry returns this host's entry for the store.
-func (e *Edge) ownEntry() catalog.Host {
-	return catalog.Host{ID: e.Settings.ID, Location: e.Settings.Location, Callers: e.Settings.Listen.Callers, Peers: e.Settings.Listen.Peers}
-}
-
-// register writes this host's entry unless the store already has it. An accepted
-// entry is permanent, so it is written once: repeating the write until a watch
-// delivered the entry took up to eight calls per host.
-func (e *Edge) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if list := e.hosts.Load(); list != nil {
-			if slices.Contains(*list, e.ownEntry()) {
-				return
-			}
-			err := e.Store.PutHost(ctx, e.ownEntry())
-			if err == nil {
-				return
-			}
-			e.log.Warn().Err(err).Msg("registration failed")
-		}
-		wait(ctx, storeRetryInterval)
-	}
-}
-
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -33,6 +33,12 @@
 	// ConfirmedGeneration is the highest roster generation that the member reported
 	// to apply.
 	ConfirmedGeneration uint64 `json:"confirmed"`
+	// Registered is the store revision at which the member was registered, and Joined
+	// that of its first record of a division of the limits; 0 if there is none.
+	// ConfirmedGeneration is then the Registered of the last host in the list that the
+	// member acts on.
+	Registered uint64 `json:"registered,omitempty"`
+	Joined     uint64 `json:"joined,omitempty"`
 	// Reachable is true while the member responds to heartbeats; it becomes false
 	// after three heartbeat intervals without a response. It does not indicate
 	// whether the member's lease is valid.
--- a/host/status.go
+++ b/host/status.go
@@ -34,7 +34,7 @@
 		return &NotReadyError{Reason: "no valid lease"}
 	case h.state.snapshot.Load() == nil:
 		return &NotReadyError{Reason: "no configuration yet"}
-	case !h.limits.HasShare() && now.Sub(machine.Instant(h.state.leaseSince.Load())) < shareGracePeriod:
+	case !h.limits.Joined() && now.Sub(machine.Instant(h.state.leaseSince.Load())) < shareGracePeriod:
 		return &NotReadyError{Reason: "no share of the customers' limits yet"}
 	}
 	return nil
--- /dev/null
+++ b/limits/allot.go
@@ -0,0 +1,168 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// Settled is an output: this host, and the borrowers of its loans, hold no more than a
+// division by the hosts up to a registration gives them. It may be recorded then.
+type Settled struct {
+	Generation uint64
+}
+
+// MachineOutput marks Settled as an output.
+func (Settled) MachineOutput() {}
+
+// allotment bounds what each host may hold of a limit, from the hosts' records in the
+// store: the order in which they joined, and the last division that each acts on.
+//
+// The list of hosts only grows at its end, and the part that a division gives to a host
+// never grows with the list. So a host that recorded a division holds at most its part of
+// that one, also while it is out of touch. A host holds nothing before its first record is
+// in its copy of the store, which then has the records of all hosts that joined before it.
+// It may hold its part as far as the limit exceeds the bounds of these. So the last to
+// join of the hosts that hold anything leaves the sum within the limit.
+type allotment struct {
+	// hosts are in the order of their registration.
+	hosts []allottedHost
+	// self is the index of this host, and earlier those of the hosts that joined before
+	// it. joined is false while this host has no record.
+	self    int
+	earlier []int
+	joined  bool
+	// generation is the registration of the last host.
+	generation uint64
+	// agreed is true if all earlier hosts recorded this division.
+	agreed bool
+}
+
+// allottedHost is a host with the last division that it is known to act on.
+type allottedHost struct {
+	id     fleet.HostID
+	region fleet.Region
+	// known is the number of hosts in that division, regions that of their regions and
+	// inRegion that of the hosts in its own region.
+	known, regions, inRegion int
+}
+
+// newAllotment returns the allotment for a view, or nil if this host is not registered.
+func newAllotment(view *fleet.View) *allotment {
+	var members []*fleet.ViewMember
+	for i := range view.Members {
+		if view.Members[i].Registered > 0 {
+			members = append(members, &view.Members[i])
+		}
+	}
+	slices.SortFunc(members, func(a, b *fleet.ViewMember) int { return cmp.Compare(a.Registered, b.Registered) })
+	self := slices.IndexFunc(members, func(m *fleet.ViewMember) bool { return m.Host == view.Self.Host })
+	if self < 0 {
+		return nil
+	}
+	l := &allotment{self: self, joined: members[self].Joined > 0, generation: members[len(members)-1].Registered, agreed: true}
+	for i, m := range members {
+		divided := max(m.ConfirmedGeneration, m.Registered)
+		if i == self {
+			divided = l.generation
+		}
+		h := allottedHost{id: m.Host, region: m.Region}
+		regions := map[fleet.Region]int{}
+		for h.known < len(members) && members[h.known].Registered <= divided {
+			regions[members[h.known].Region]++
+			h.known++
+		}
+		h.regions, h.inRegion = len(regions), regions[m.Region]
+		l.hosts = append(l.hosts, h)
+		if m.Joined > 0 && m.Joined < members[self].Joined {
+			l.earlier = append(l.earlier, i)
+			l.agreed = l.agreed && h.known == len(members)
+		}
+	}
+	return l
+}
+
+// units returns what this host may hold of a customer's limit.
+func (l *allotment) units(customer fleet.Customer, burst float64) int64 {
+	if l == nil || !l.joined {
+		return 0
+	}
+	own := l.part(l.self, customer, burst)
+	if l.agreed || own == 0 {
+		return own
+	}
+	left := int64(fleet.TotalWeight)
+	for _, i := range l.earlier {
+		left -= l.part(i, customer, burst)
+	}
+	return max(0, min(own, left))
+}
+
+// weight returns what this host may hold of a limit that all hosts share.
+func (l *allotment) weight() int64 {
+	if l == nil || !l.joined {
+		return 0
+	}
+	left := int64(fleet.TotalWeight)
+	for _, i := range l.earlier {
+		left -= evenPart(l.hosts[i].regions, l.hosts[i].inRegion)
+	}
+	own := l.hosts[l.self]
+	return max(0, min(evenPart(own.regions, own.inRegion), left))
+}
+
+func evenPart(regions, hosts int) int64 { return fleet.TotalWeight / int64(regions*hosts) }
+
+// part returns the most that a host holds of a customer's limit.
+func (l *allotment) part(i int, customer fleet.Customer, burst float64) int64 {
+	h := &l.hosts[i]
+	holders := quotaHolders(h.regions, burst)
+	if holders >= h.inRegion {
+		return evenPart(h.regions, h.inRegion)
+	}
+	score, before := rendezvous(customer, h.id), 0
+	for k := range h.known {
+		other := &l.hosts[k]
+		if k == i || other.region != h.region {
+			continue
+		}
+		if s := rendezvous(customer, other.id); s > score || s == score && other.id < h.id {
+			if before++; before == holders {
+				return 0
+			}
+		}
+	}
+	return evenPart(h.regions, holders)
+}
+
+// setAllotment applies the allotment of a new view to the generation that waits to be
+// settled.
+func (m *Machine) setAllotment(now machine.Instant) {
+	m.allotted = newAllotment(m.view)
+	if m.allotted == nil || m.allotted.generation <= m.generation {
+		return
+	}
+	wait := time.Duration(0)
+	if m.holdsUnits() || m.generation == 0 && m.successor {
+		wait = increaseDelay
+	}
+	m.generation, m.settleAt = m.allotted.generation, now.Add(wait)
+}
+
+// holdsUnits reports whether the host holds units of its own or has lent any.
+func (m *Machine) holdsUnits() bool {
+	return m.base.effective > 0 || slices.ContainsFunc(m.accounts, func(a *account) bool {
+		return a.base.effective > 0 || len(a.lent) > 0
+	})
+}
+
+// settle reports a division once the loans of the one before have ended.
+func (m *Machine) settle(now machine.Instant) {
+	if m.generation > m.settled && now >= m.settleAt {
+		m.settled = m.generation
+		m.out = append(m.out, Settled{Generation: m.settled})
+	}
+}
--- a/limits/base.go
+++ b/limits/base.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/catkinspring/catkinspring/machine"
@@ -84,3 +85,100 @@
 	}
 	return baseShare{effective: units}
 }
+
+// setBase sets the host's share of all limits and, if redivide is true, recomputes the
+// divisions of the customers. Most views differ only in the state of hosts.
+func (m *Machine) setBase(now machine.Instant, weight int64, redivide bool) {
+	increaseAt := m.increaseAt(now, weight)
+	if m.base.set(weight, increaseAt) {
+		m.publishJoined(now)
+		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
+	}
+	for _, a := range m.accounts {
+		if redivide {
+			a.division = m.divisionOf(a)
+		}
+		if a.base.set(m.unitsOf(a), increaseAt) {
+			m.expireLoans(a, now)
+			m.publishUnits(a)
+		}
+	}
+}
+
+// increaseAt returns when an increase of the base share takes effect. Hosts that record
+// their divisions have waited for the ends of their loans before.
+func (m *Machine) increaseAt(now machine.Instant, weight int64) machine.Instant {
+	if m.recorded {
+		m.startSharing(now)
+		return max(now, m.shareFrom)
+	}
+	delay := increaseDelay
+	if m.successor && weight > m.base.pending() {
+		delay, m.successor = successionDelay, false
+	}
+	return now.Add(delay)
+}
+
+// startSharing sets when the process begins to take part, once it is registered.
+func (m *Machine) startSharing(now machine.Instant) {
+	if m.joinAt > 0 || m.allotted == nil {
+		return
+	}
+	m.shareFrom, m.joinAt = now, now.Add(increaseDelay)
+	switch {
+	case m.successor:
+		m.joinAt = now.Add(successionDelay)
+		m.shareFrom = m.joinAt
+	case m.allotted.joined:
+		m.shareFrom = m.joinAt
+	}
+}
+
+// publishJoined publishes whether the host takes part in the limits. One that records
+// its divisions does so also while others hold all of a limit: it borrows.
+func (m *Machine) publishJoined(now machine.Instant) {
+	joined := m.base.effective > 0
+	if m.recorded {
+		joined = m.joinAt > 0 && (joined || now >= m.joinAt)
+	}
+	if joined != m.joined {
+		m.joined = joined
+		m.shares.SetJoined(joined)
+	}
+}
+
+// divisionOf returns the division of a customer's limit in the current view.
+func (m *Machine) divisionOf(a *account) Division {
+	if m.divide == nil {
+		return nil
+	}
+	return m.divide(m.view, a.id, a.burst)
+}
+
+// unitsOf returns the base share of a customer that the current view gives to this
+// host.
+func (m *Machine) unitsOf(a *account) int64 {
+	self := m.view.Find(m.view.Self.Host)
+	if self == nil || self.Member != m.view.Self {
+		return 0
+	}
+	if m.recorded {
+		return min(a.division.units(self), m.allotted.units(a.id, a.burst))
+	}
+	return a.division.units(self)
+}
+
+// applyIncreases applies the base share increases that are due.
+func (m *Machine) applyIncreases(now machine.Instant) {
+	raised := m.base.applyIncreases(now)
+	m.publishJoined(now)
+	if raised {
+		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.base.effective))
+	}
+	for _, a := range m.accounts {
+		if a.base.applyIncreases(now) {
+			m.expireLoans(a, now)
+			m.publishUnits(a)
+		}
+	}
+}
--- a/limits/divide.go
+++ b/limits/divide.go
@@ -25,15 +25,26 @@
 // only when the list of hosts changes.
 type Divide func(view *fleet.View, customer fleet.Customer, burst float64) Division
 
-// quotaHolderTokens is the number of tokens per quota holder: a region has one quota
-// holder for each quotaHolderTokens of its share of the burst. Twice minTokens leaves
-// a quota holder tokens to lend while it serves its own requests.
-const quotaHolderTokens = 2 * minTokens
+// quotaHolderTokens is the number of tokens for which there is one quota holder, before
+// the number is rounded up for the regions. At least about half of them are left to each,
+// so that it has tokens to lend while it serves its own requests.
+const quotaHolderTokens = 3 * minTokens
+
+// quotaHolders returns the number of quota holders in each region.
+//
+// Invariant: with more regions, all regions together have no fewer quota holders, and
+// each region no more. So the share of a quota holder never grows with the fleet.
+func quotaHolders(regions int, burst float64) int {
+	holders := max(1, int(burst/quotaHolderTokens))
+	for r := 2; r <= regions; r++ {
+		holders = (holders + r - 1) / r * r
+	}
+	return holders / max(1, regions)
+}
 
 // DivideSmall divides the limits of customers whose bursts are too small for all
-// hosts: in each region where an even share holds less than minTokens, the first
-// hosts by rendezvous hashing of the customer are quota holders, which hold the
-// region's share, and the others borrow tokens from them when a request arrives.
+// hosts: in each region with more hosts than quotaHolders, the first hosts by
+// rendezvous hashing of the customer are quota holders, which hold the region's share, and the others borrow tokens from them when a request arrives.
 // Otherwise one host would have to collect the shares of all others as loans and
 // renew them every second: 57 requests per second per host in a fleet of 87 with 86
 // customers. The price is that losing a quota holder takes away a larger share of
@@ -53,10 +64,7 @@
 		for _, m := range members {
 			total += int64(m.Weight)
 		}
-		holders := len(members)
-		if tokens := amountOf(total, burst); tokens < float64(minTokens*len(members)) {
-			holders = min(len(members), max(1, int(tokens/quotaHolderTokens)))
-		}
+		holders := min(len(members), quotaHolders(len(regions), burst))
 		if holders == len(members) {
 			for _, m := range members {
 				division[m.Host] = int64(m.Weight)
@@ -95,9 +103,10 @@
 }
 
 // sameDivisions reports whether every division of two views is the same: divisions
-// depend on the hosts with their regions and weights, not on their state.
+// depend on the hosts with their regions, weights and records, not on their state.
 func sameDivisions(a, b *fleet.View) bool {
 	return slices.EqualFunc(a.Members, b.Members, func(x, y fleet.ViewMember) bool {
-		return x.Host == y.Host && x.Region == y.Region && x.Weight == y.Weight
+		return x.Host == y.Host && x.Region == y.Region && x.Weight == y.Weight &&
+			x.Registered == y.Registered && x.Joined == y.Joined && x.ConfirmedGeneration == y.ConfirmedGeneration
 	})
 }
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -81,6 +81,18 @@
 	// base shares.
 	base   baseShare
 	divide Divide
+	// recorded is true if base shares follow the divisions that hosts record, see
+	// allotment.
+	recorded bool
+	allotted *allotment
+	// generation is that of the last division, and settled the last one reported by
+	// Settled; settleAt is when generation follows.
+	generation, settled uint64
+	settleAt            machine.Instant
+	// shareFrom is when this process may first use a share of its own, and joinAt when it
+	// takes part without one; 0 before it is registered.
+	shareFrom, joinAt machine.Instant
+	joined            bool
 
 	// accounts are sorted by customer.
 	accounts []*account
@@ -135,6 +147,14 @@
 	}
 }
 
+// NewRecordedMachine returns a machine for hosts that record in a store which hosts they
+// divide the limits by. It divides by DivideSmall.
+func NewRecordedMachine(shares Shares) *Machine {
+	m := NewMachine(shares, DivideSmall)
+	m.recorded = true
+	return m
+}
+
 // Step applies one input.
 func (m *Machine) Step(now machine.Now, in machine.Input) []machine.Output {
 	m.out = nil
@@ -167,6 +187,7 @@
 	}
 	m.lastTick = now
 	m.applyIncreases(now)
+	m.settle(now)
 	poolCheck := now >= m.nextPoolCheck
 	if poolCheck {
 		m.nextPoolCheck = now.Add(poolInterval)
@@ -252,7 +273,11 @@
 		m.expireLoans(a, now)
 		m.shares.SetLimit(a.id, a.rate, a.burst)
 		a.division = m.divisionOf(a)
-		if !known {
+		switch {
+		case known:
+		case m.recorded:
+			a.base.set(m.unitsOf(a), max(now, m.shareFrom))
+		default:
 			a.base = m.base.forNewCustomer(m.unitsOf(a), a.division != nil)
 		}
 		a.base.set(m.unitsOf(a), now.Add(increaseDelay))
@@ -305,6 +330,10 @@
 		weight = int64(self.Weight)
 		leaving = self.State == fleet.StateLeaving
 	}
+	if m.recorded {
+		m.setAllotment(now)
+		weight = min(weight, m.allotted.weight())
+	}
 	m.setBase(now, weight, redivide)
 	m.dropStaleLoans()
 	if leaving && !m.leaving {
@@ -316,46 +345,6 @@
 	m.removeStalePeers()
 }
 
-// setBase sets the host's share of all limits and, if redivide is true, recomputes the
-// divisions of the customers. Most views differ only in the state of hosts.
-func (m *Machine) setBase(now machine.Instant, weight int64, redivide bool) {
-	delay := increaseDelay
-	if weight > m.base.pending() && m.successor {
-		delay, m.successor = successionDelay, false
-	}
-	if m.base.set(weight, now.Add(delay)) {
-		m.shares.SetWeight(m.base.effective)
-		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
-	}
-	for _, a := range m.accounts {
-		if redivide {
-			a.division = m.divisionOf(a)
-		}
-		if a.base.set(m.unitsOf(a), now.Add(delay)) {
-			m.expireLoans(a, now)
-			m.publishUnits(a)
-		}
-	}
-}
-
-// divisionOf returns the division of a customer's limit in the current view.
-func (m *Machine) divisionOf(a *account) Division {
-	if m.divide == nil {
-		return nil
-	}
-	return m.divide(m.view, a.id, a.burst)
-}
-
-// unitsOf returns the base share of a customer that the current view gives to this
-// host.
-func (m *Machine) unitsOf(a *account) int64 {
-	self := m.view.Find(m.view.Self.Host)
-	if self == nil || self.Member != m.view.Self {
-		return 0
-	}
-	return a.division.units(self)
-}
-
 // dropStaleLoans drops loans whose lender now runs as another incarnation: its
 // successor holds the units again. Loans that are sublent expire instead.
 func (m *Machine) dropStaleLoans() {
@@ -371,20 +360,6 @@
 	}
 }
 
-// applyIncreases applies the base share increases that are due.
-func (m *Machine) applyIncreases(now machine.Instant) {
-	if m.base.applyIncreases(now) {
-		m.shares.SetWeight(m.base.effective)
-		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.base.effective))
-	}
-	for _, a := range m.accounts {
-		if a.base.applyIncreases(now) {
-			m.expireLoans(a, now)
-			m.publishUnits(a)
-		}
-	}
-}
-
 func (m *Machine) publishUnits(a *account) {
 	if a.active {
 		m.shares.Deposit(a.id, a.heldUnits(), 0)
@@ -394,8 +369,8 @@
 // resetIncarnation discards the state of an earlier incarnation of this process.
 // Its loans ended before its share was given to others.
 func (m *Machine) resetIncarnation() {
-	m.base, m.leaseUntil = baseShare{}, 0
-	m.shares.SetWeight(0)
+	m.base, m.leaseUntil, m.joined, m.shareFrom, m.joinAt = baseShare{}, 0, false, 0, 0
+	m.shares.SetJoined(false)
 	m.shares.Reset()
 	m.sent = map[uint64]sentRequest{}
 	for _, a := range m.accounts {
--- a/limits/shares.go
+++ b/limits/shares.go
@@ -14,8 +14,8 @@
 type Shares interface {
 	// SetLease publishes the end of the lease.
 	SetLease(until machine.Instant)
-	// SetWeight publishes the base share in effect, in units.
-	SetWeight(weight int64)
+	// SetJoined publishes whether the host takes part in the limits.
+	SetJoined(joined bool)
 	// Reset discards stored tokens, loans and the lease, for a new incarnation.
 	Reset()
 	// SetLimit publishes the rate and burst of a customer. A customer that is new
--- a/limits/table.go
+++ b/limits/table.go
@@ -49,7 +49,7 @@
 	// publish serializes changes of the set of customers.
 	publish    sync.Mutex
 	leaseUntil atomic.Int64
-	weight     atomic.Int64
+	joined     atomic.Bool
 	// leaseEpoch is incremented when the lease is renewed after its end, and when the
 	// incarnation changes.
 	leaseEpoch atomic.Uint64
@@ -374,13 +374,13 @@
 	return problem.NotRun(problem.KindLeaseExpired, "the host holds no lease").WithRetryAfter(time.Second)
 }
 
-// SetWeight publishes the base share in effect, in units.
-func (t *Table) SetWeight(weight int64) {
-	t.weight.Store(weight)
+// SetJoined publishes whether the host takes part in the limits.
+func (t *Table) SetJoined(joined bool) {
+	t.joined.Store(joined)
 }
 
-// HasShare reports whether the host holds a base share. A host that just started
-// has none for a while.
-func (t *Table) HasShare() bool {
-	return t.weight.Load() > 0
+// Joined reports whether the host takes part in the limits: it holds a base share, or
+// may borrow. A host that just started does neither for a while.
+func (t *Table) Joined() bool {
+	return t.joined.Load()
 }
