limits: use the larger share until its loans have ended

What callers saw: nothing yet; with the record of divisions, a host gave up its larger share at once when hosts were added, and the added ones could take it up only 2.24 s and a record later.

Cause: the reduction was applied before the wait for the loans, in which nobody else can use the share.

Why it works: others assume the recorded division until a new one is recorded. Until then the host may use the larger share, as long as it lends from the smaller one only, so that all loans of the larger one have ended when it records.

--- a/limits/account.go
+++ b/limits/account.go
@@ -132,6 +132,11 @@
 	return max(0, a.base.effective-a.lentOwn())
 }
 
+// lendableOwn returns the units of the base share that can be lent.
+func (a *account) lendableOwn() int64 {
+	return max(0, min(a.base.effective, a.base.lendable())-a.lentOwn())
+}
+
 // lentOwn returns the units of the base share that are lent.
 func (a *account) lentOwn() int64 {
 	var units int64
@@ -210,7 +215,7 @@
 	if a.usage.Waiting > 0 || purpose == ForPool && now < a.noPoolUntil {
 		return 0
 	}
-	held, keep, lendable := a.held(), a.need(rateHeadroom), a.own()
+	held, keep, lendable := a.held(), a.need(rateHeadroom), a.lendableOwn()
 	if purpose == ForWaiting {
 		keep /= 2
 		if token := a.tokenUnits(1); keep > 0 && held >= token {
@@ -235,7 +240,7 @@
 // borrowed loans. It returns the sources and the longest possible duration.
 func (a *account) allocateLoan(units int64, now machine.Instant) ([]loanSource, time.Duration) {
 	duration := LoanDuration
-	own := min(units, a.own())
+	own := min(units, a.lendableOwn())
 	var sources []loanSource
 	if own > 0 {
 		sources = append(sources, loanSource{units: own})
--- a/limits/base.go
+++ b/limits/base.go
@@ -13,6 +13,10 @@
 	effective int64
 	// increases are the increases that have not taken effect, ascending.
 	increases []shareIncrease
+	// reduced is the share from reduceAt on, 0 if no reduction is due. Until then the host
+	// uses the larger share, but lends only from the reduced one.
+	reduced  int64
+	reduceAt machine.Instant
 }
 
 // shareIncrease is an increased base share and the time at which it takes effect.
@@ -21,13 +25,17 @@
 	at    machine.Instant
 }
 
-// set applies the share of a new view: a decrease at once, an increase at increaseAt.
-// It reports whether the share in effect decreased.
-func (s *baseShare) set(units int64, increaseAt machine.Instant) bool {
+// set applies the share of a new view: a decrease at reduceAt, or at once if that is 0,
+// and an increase at increaseAt. It reports whether the share in effect decreased.
+func (s *baseShare) set(units int64, reduceAt, increaseAt machine.Instant) bool {
 	s.capIncreases(units)
-	reduced := units < s.effective
-	if reduced {
+	s.reduced, s.reduceAt = 0, 0
+	reduced := units < s.effective && reduceAt == 0
+	switch {
+	case reduced:
 		s.effective = units
+	case units < s.effective:
+		s.reduced, s.reduceAt = units, reduceAt
 	}
 	if units > s.pending() {
 		s.increases = append(s.increases, shareIncrease{share: units, at: increaseAt})
@@ -35,6 +43,14 @@
 	return reduced
 }
 
+// lendable returns the share of which units may be lent.
+func (s *baseShare) lendable() int64 {
+	if s.reduceAt > 0 {
+		return s.reduced
+	}
+	return s.effective
+}
+
 // capIncreases caps the pending increases at a share. A capped increase keeps its
 // time, because the smaller share has been allowed since it was recorded.
 func (s *baseShare) capIncreases(units int64) {
@@ -58,15 +74,17 @@
 	return s.increases[len(s.increases)-1].share
 }
 
-// applyIncreases applies the increases that are due and reports whether there were
-// any.
-func (s *baseShare) applyIncreases(now machine.Instant) bool {
-	increased := false
+// applyChanges applies the changes that are due and reports whether there were any.
+func (s *baseShare) applyChanges(now machine.Instant) bool {
+	changed := s.reduceAt > 0 && now >= s.reduceAt
+	if changed {
+		s.effective, s.reduceAt = s.reduced, 0
+	}
 	for len(s.increases) > 0 && now >= s.increases[0].at {
 		s.effective, s.increases = s.increases[0].share, s.increases[1:]
-		increased = true
+		changed = true
 	}
-	return increased
+	return changed
 }
 
 // forNewCustomer returns the base share of a customer that no host had before, for
@@ -89,8 +107,11 @@
 // setBase sets the host's share of all limits and, if redivide is true, recomputes the
 // divisions of the customers. Most views differ only in the state of hosts.
 func (m *Machine) setBase(now machine.Instant, weight int64, redivide bool) {
-	increaseAt := m.increaseAt(now, weight)
-	if m.base.set(weight, increaseAt) {
+	increaseAt, reduceAt := m.increaseAt(now, weight), machine.Instant(0)
+	if m.recorded {
+		reduceAt = m.settleAt
+	}
+	if m.base.set(weight, 0, increaseAt) {
 		m.publishJoined(now)
 		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
 	}
@@ -98,7 +119,7 @@
 		if redivide {
 			a.division = m.divisionOf(a)
 		}
-		if a.base.set(m.unitsOf(a), increaseAt) {
+		if a.base.set(m.unitsOf(a), reduceAt, increaseAt) {
 			m.expireLoans(a, now)
 			m.publishUnits(a)
 		}
@@ -168,15 +189,15 @@
 	return a.division.units(self)
 }
 
-// applyIncreases applies the base share increases that are due.
-func (m *Machine) applyIncreases(now machine.Instant) {
-	raised := m.base.applyIncreases(now)
+// applyShares applies the changes of base shares that are due.
+func (m *Machine) applyShares(now machine.Instant) {
+	raised := m.base.applyChanges(now)
 	m.publishJoined(now)
 	if raised {
 		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.base.effective))
 	}
 	for _, a := range m.accounts {
-		if a.base.applyIncreases(now) {
+		if a.base.applyChanges(now) {
 			m.expireLoans(a, now)
 			m.publishUnits(a)
 		}
--- a/limits/divide.go
+++ b/limits/divide.go
@@ -26,9 +26,9 @@
 type Divide func(view *fleet.View, customer fleet.Customer, burst float64) Division
 
 // quotaHolderTokens is the number of tokens for which there is one quota holder, before
-// the number is rounded up for the regions. At least about half of them are left to each,
-// so that it has tokens to lend while it serves its own requests.
-const quotaHolderTokens = 3 * minTokens
+// the number is rounded up for the regions. Twice minTokens leaves most quota holders
+// tokens to lend while they serve their own requests.
+const quotaHolderTokens = 2 * minTokens
 
 // quotaHolders returns the number of quota holders in each region.
 //
--- a/limits/lend.go
+++ b/limits/lend.go
@@ -55,7 +55,7 @@
 		}
 		m.expireLoans(a, now)
 		i := a.findLent(id)
-		if i < 0 || a.lent[i].to != from || !a.active || a.lentOwn() > a.base.effective {
+		if i < 0 || a.lent[i].to != from || !a.active || a.lentOwn() > a.base.lendable() {
 			return false
 		}
 		l := &a.lent[i]
@@ -167,7 +167,7 @@
 	m.returnAllLoans(a)
 	a.pendingRequests = nil
 	a.yieldUntil = now.Add(yieldTime)
-	return a.own()
+	return a.lendableOwn()
 }
 
 // handleReturn handles loans that are returned before their end.
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -186,7 +186,7 @@
 		return
 	}
 	m.lastTick = now
-	m.applyIncreases(now)
+	m.applyShares(now)
 	m.settle(now)
 	poolCheck := now >= m.nextPoolCheck
 	if poolCheck {
@@ -276,11 +276,11 @@
 		switch {
 		case known:
 		case m.recorded:
-			a.base.set(m.unitsOf(a), max(now, m.shareFrom))
+			a.base.set(m.unitsOf(a), 0, max(now, m.shareFrom))
 		default:
 			a.base = m.base.forNewCustomer(m.unitsOf(a), a.division != nil)
 		}
-		a.base.set(m.unitsOf(a), now.Add(increaseDelay))
+		a.base.set(m.unitsOf(a), 0, now.Add(increaseDelay))
 		m.publishUnits(a)
 	}
 	m.accounts = slices.DeleteFunc(m.accounts, func(a *account) bool {
@@ -317,8 +317,8 @@
 	return a, false
 }
 
-// handleView applies a new view. A decrease of the base share applies at once, an
-// increase after increaseDelay.
+// handleView applies a new view. A decrease of the base share applies at once, or, if it
+// is recorded, when the loans of the larger one have ended; see setBase.
 func (m *Machine) handleView(now machine.Instant, view *fleet.View) {
 	if view.Self != m.view.Self && m.view.Self != (fleet.Member{}) {
 		m.resetIncarnation()
