limits: allot again only when records change

Why it works: the bounds depend on the list and the records only, so they are kept with the account, and a customer's scores are computed once for all hosts.

--- a/limits/account.go
+++ b/limits/account.go
@@ -94,6 +94,8 @@
 	// this host's share of the limit.
 	division Division
 	base     baseShare
+	// allotted is what the records of all hosts leave to this host of the limit.
+	allotted int64
 	// pooling is true if this host collects the units of a small burst.
 	pooling bool
 
--- a/limits/allot.go
+++ b/limits/allot.go
@@ -28,8 +28,10 @@
 // It may hold its part as far as the limit exceeds the bounds of these. So the last to
 // join of the hosts that hold anything leaves the sum within the limit.
 type allotment struct {
-	// hosts are in the order of their registration.
-	hosts []allottedHost
+	// hosts are in the order of their registration, and byRegion the indexes of those in
+	// each region.
+	hosts    []allottedHost
+	byRegion map[fleet.Region][]int
 	// self is the index of this host, and earlier those of the hosts that joined before
 	// it. joined is false while this host has no record.
 	self    int
@@ -63,7 +65,10 @@
 	if self < 0 {
 		return nil
 	}
-	l := &allotment{self: self, joined: members[self].Joined > 0, generation: members[len(members)-1].Registered, agreed: true}
+	l := &allotment{
+		self: self, joined: members[self].Joined > 0, generation: members[len(members)-1].Registered, agreed: true,
+		byRegion: map[fleet.Region][]int{},
+	}
 	for i, m := range members {
 		divided := max(m.ConfirmedGeneration, m.Registered)
 		if i == self {
@@ -77,6 +82,7 @@
 		}
 		h.regions, h.inRegion = len(regions), regions[m.Region]
 		l.hosts = append(l.hosts, h)
+		l.byRegion[m.Region] = append(l.byRegion[m.Region], i)
 		if m.Joined > 0 && m.Joined < members[self].Joined {
 			l.earlier = append(l.earlier, i)
 			l.agreed = l.agreed && h.known == len(members)
@@ -90,13 +96,17 @@
 	if l == nil || !l.joined {
 		return 0
 	}
-	own := l.part(l.self, customer, burst)
+	scores := make([]uint64, len(l.hosts))
+	for i := range l.hosts {
+		scores[i] = rendezvous(customer, l.hosts[i].id)
+	}
+	own := l.part(l.self, scores, burst)
 	if l.agreed || own == 0 {
 		return own
 	}
 	left := int64(fleet.TotalWeight)
 	for _, i := range l.earlier {
-		left -= l.part(i, customer, burst)
+		left -= l.part(i, scores, burst)
 	}
 	return max(0, min(own, left))
 }
@@ -116,20 +126,16 @@
 
 func evenPart(regions, hosts int) int64 { return fleet.TotalWeight / int64(regions*hosts) }
 
-// part returns the most that a host holds of a customer's limit.
-func (l *allotment) part(i int, customer fleet.Customer, burst float64) int64 {
+// part returns the most that a host holds of a limit, for which the hosts have scores.
+func (l *allotment) part(i int, scores []uint64, burst float64) int64 {
 	h := &l.hosts[i]
 	holders := quotaHolders(h.regions, burst)
 	if holders >= h.inRegion {
 		return evenPart(h.regions, h.inRegion)
 	}
-	score, before := rendezvous(customer, h.id), 0
-	for k := range h.known {
-		other := &l.hosts[k]
-		if k == i || other.region != h.region {
-			continue
-		}
-		if s := rendezvous(customer, other.id); s > score || s == score && other.id < h.id {
+	before := 0
+	for _, k := range l.byRegion[h.region][:h.inRegion] {
+		if scores[k] > scores[i] || scores[k] == scores[i] && l.hosts[k].id < h.id {
 			if before++; before == holders {
 				return 0
 			}
--- a/limits/base.go
+++ b/limits/base.go
@@ -104,9 +104,10 @@
 	return baseShare{effective: units}
 }
 
-// setBase sets the host's share of all limits and, if redivide is true, recomputes the
-// divisions of the customers. Most views differ only in the state of hosts.
-func (m *Machine) setBase(now machine.Instant, weight int64, redivide bool) {
+// setBase sets the host's share of all limits and, if redivide and reallot are true,
+// recomputes the divisions and the allotted units of the customers. Most views differ only
+// in the state of hosts.
+func (m *Machine) setBase(now machine.Instant, weight int64, redivide, reallot bool) {
 	increaseAt, reduceAt := m.increaseAt(now, weight), machine.Instant(0)
 	if m.recorded {
 		reduceAt = m.settleAt
@@ -119,6 +120,9 @@
 		if redivide {
 			a.division = m.divisionOf(a)
 		}
+		if reallot {
+			a.allotted = m.allotted.units(a.id, a.burst)
+		}
 		if a.base.set(m.unitsOf(a), reduceAt, increaseAt) {
 			m.expireLoans(a, now)
 			m.publishUnits(a)
@@ -184,7 +188,7 @@
 		return 0
 	}
 	if m.recorded {
-		return min(a.division.units(self), m.allotted.units(a.id, a.burst))
+		return min(a.division.units(self), a.allotted)
 	}
 	return a.division.units(self)
 }
--- a/limits/bench_test.go
+++ b/limits/bench_test.go
@@ -61,3 +61,29 @@
 		m.Step(machine.Now{}, machine.ViewChanged{View: v})
 	}
 }
+
+// BenchmarkRecordChanged measures a change of one host's record in the same fleet, in
+// which another host never recorded the list of hosts.
+func BenchmarkRecordChanged(b *testing.B) {
+	m := NewRecordedMachine(NewTable(&manualClock{at: machine.Instant(time.Hour)}, ignore))
+	input := SetCustomers{Revision: 1}
+	for i := range 190 {
+		input.Customers = append(input.Customers, CustomerLimit{ID: fleet.Customer(fmt.Sprint("c-", i)), Rate: 10, Burst: 30})
+	}
+	v := viewOf(295, 3)
+	for i := range v.Members {
+		v.Members[i].Registered, v.Members[i].Joined, v.Members[i].ConfirmedGeneration = uint64(i+1), uint64(i+1000), 295
+	}
+	v.Members[0].ConfirmedGeneration = 290
+	v.Self = v.Members[294].Member
+	m.Step(machine.Now{}, machine.ViewChanged{View: v})
+	m.Step(machine.Now{}, input)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		next := *v
+		next.Members = slices.Clone(v.Members)
+		next.Members[1].ConfirmedGeneration = 294 + uint64(n%2)
+		v = &next
+		m.Step(machine.Now{}, machine.ViewChanged{View: v})
+	}
+}
--- a/limits/divide.go
+++ b/limits/divide.go
@@ -103,10 +103,17 @@
 }
 
 // sameDivisions reports whether every division of two views is the same: divisions
-// depend on the hosts with their regions, weights and records, not on their state.
+// depend on the hosts with their regions and weights, not on their state.
 func sameDivisions(a, b *fleet.View) bool {
 	return slices.EqualFunc(a.Members, b.Members, func(x, y fleet.ViewMember) bool {
-		return x.Host == y.Host && x.Region == y.Region && x.Weight == y.Weight &&
-			x.Registered == y.Registered && x.Joined == y.Joined && x.ConfirmedGeneration == y.ConfirmedGeneration
+		return x.Host == y.Host && x.Region == y.Region && x.Weight == y.Weight
+	})
+}
+
+// sameRecords reports whether the hosts of two views with the same divisions have the same
+// records in the store.
+func sameRecords(a, b *fleet.View) bool {
+	return slices.EqualFunc(a.Members, b.Members, func(x, y fleet.ViewMember) bool {
+		return x.Registered == y.Registered && x.Joined == y.Joined && x.ConfirmedGeneration == y.ConfirmedGeneration
 	})
 }
--- a/limits/machine.go
+++ b/limits/machine.go
@@ -273,6 +273,7 @@
 		m.expireLoans(a, now)
 		m.shares.SetLimit(a.id, a.rate, a.burst)
 		a.division = m.divisionOf(a)
+		a.allotted = m.allotted.units(a.id, a.burst)
 		switch {
 		case known:
 		case m.recorded:
@@ -324,17 +325,20 @@
 		m.resetIncarnation()
 	}
 	redivide := !sameDivisions(m.view, view)
+	reallot := m.recorded && (redivide || m.view.Self != view.Self || !sameRecords(m.view, view))
 	m.view, m.viewAt = view, now
 	weight, leaving := int64(0), false
 	if self := view.Find(view.Self.Host); self != nil && self.Member == view.Self {
 		weight = int64(self.Weight)
 		leaving = self.State == fleet.StateLeaving
 	}
-	if m.recorded {
+	if reallot {
 		m.setAllotment(now)
+	}
+	if m.recorded {
 		weight = min(weight, m.allotted.weight())
 	}
-	m.setBase(now, weight, redivide)
+	m.setBase(now, weight, redivide, reallot)
 	m.dropStaleLoans()
 	if leaving && !m.leaving {
 		for _, a := range m.accounts {
--- a/limits/view_test.go
+++ b/limits/view_test.go
@@ -43,6 +43,7 @@
 	require.Zero(t, change(func(v *fleet.View) { v.Members[1].Reachable = !v.Members[1].Reachable }))
 	require.Zero(t, change(func(v *fleet.View) { v.Members[2].Incarnation = fleet.Incarnation{1} }))
 	require.Zero(t, change(func(v *fleet.View) { v.Members[3].State = fleet.StateLeaving }))
+	require.Zero(t, change(func(v *fleet.View) { v.Members[3].ConfirmedGeneration = 7 }))
 	require.Equal(t, 10, change(func(v *fleet.View) { v.Members = v.Members[:29] }))
 	require.Equal(t, 10, change(func(v *fleet.View) { v.Members[4].Region = "0" }))
 	require.Equal(t, 10, change(func(v *fleet.View) { v.Members[4].Weight-- }))
