--- a/limits/base.go
+++ b/limits/base.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/catkinspring/catkinspring/machine"
@@ -12,6 +13,10 @@
 	effective int64
 	// increases are the increases that have not taken effect, ascending.
 	increases []shareIncrease
+	// reduced is the share from reduceAt on, 0 if no reduction is due. Until then the host
+	// uses the larger share, but lends only from the reduced one.
+	reduced  int64
+	reduceAt machine.Instant
 }
 
 // shareIncrease is an increased base share and the time at which it takes effect.
@@ -20,13 +25,17 @@
 	at    machine.Instant
 }
 
-// set applies the share of a new view: a decrease at once, an increase at increaseAt.
-// It reports whether the share in effect decreased.
-func (s *baseShare) set(units int64, increaseAt machine.Instant) bool {
+// set applies the share of a new view: a decrease at reduceAt, or at once if that is 0,
+// and an increase at increaseAt. It reports whether the share in effect decreased.
+func (s *baseShare) set(units int64, reduceAt, increaseAt machine.Instant) bool {
 	s.capIncreases(units)
-	reduced := units < s.effective
-	if reduced {
+	s.reduced, s.reduceAt = 0, 0
+	reduced := units < s.effective && reduceAt == 0
+	switch {
+	case reduced:
 		s.effective = units
+	case units < s.effective:
+		s.reduced, s.reduceAt = units, reduceAt
 	}
 	if units > s.pending() {
 		s.increases = append(s.increases, shareIncrease{share: units, at: increaseAt})
@@ -34,6 +43,14 @@
 	return reduced
 }
 
+// lendable returns the share of which units may be lent.
+func (s *baseShare) lendable() int64 {
+	if s.reduceAt > 0 {
+		return s.reduced
+	}
+	return s.effective
+}
+
 // capIncreases caps the pending increases at a share. A capped increase keeps its
 // time, because the smaller share has been allowed since it was recorded.
 func (s *baseShare) capIncreases(units int64) {
@@ -57,15 +74,17 @@
 	return s.increases[len(s.increases)-1].share
 }
 
-// applyIncreases applies the increases that are due and reports whether there were
-// any.
-func (s *baseShare) applyIncreases(now machine.Instant) bool {
-	increased := false
+// applyChanges applies the changes that are due and reports whether there were any.
+func (s *baseShare) applyChanges(now machine.Instant) bool {
+	changed := s.reduceAt > 0 && now >= s.reduceAt
+	if changed {
+		s.effective, s.reduceAt = s.reduced, 0
+	}
 	for len(s.increases) > 0 && now >= s.increases[0].at {
 		s.effective, s.increases = s.increases[0].share, s.increases[1:]
-		increased = true
+		changed = true
 	}
-	return increased
+	return changed
 }
 
 // forNewCustomer returns the base share of a customer that no host had before, for
@@ -84,3 +103,107 @@
 	}
 	return baseShare{effective: units}
 }
+
+// setBase sets the host's share of all limits and, if redivide and reallot are true,
+// recomputes the divisions and the allotted units of the customers. Most views differ only
+// in the state of hosts.
+func (m *Machine) setBase(now machine.Instant, weight int64, redivide, reallot bool) {
+	increaseAt, reduceAt := m.increaseAt(now, weight), machine.Instant(0)
+	if m.recorded {
+		reduceAt = m.settleAt
+	}
+	if m.base.set(weight, 0, increaseAt) {
+		m.publishJoined(now)
+		m.event(eventShare, "", fmt.Sprintf("base share reduced to %d units", weight))
+	}
+	for _, a := range m.accounts {
+		if redivide {
+			a.division = m.divisionOf(a)
+		}
+		if reallot {
+			a.allotted = m.allotted.units(a.id, a.burst)
+		}
+		if a.base.set(m.unitsOf(a), reduceAt, increaseAt) {
+			m.expireLoans(a, now)
+			m.publishUnits(a)
+		}
+	}
+}
+
+// increaseAt returns when an increase of the base share takes effect. Hosts that record
+// their divisions have waited for the ends of their loans before.
+func (m *Machine) increaseAt(now machine.Instant, weight int64) machine.Instant {
+	if m.recorded {
+		m.startSharing(now)
+		return max(now, m.shareFrom)
+	}
+	delay := increaseDelay
+	if m.successor && weight > m.base.pending() {
+		delay, m.successor = successionDelay, false
+	}
+	return now.Add(delay)
+}
+
+// startSharing sets when the process begins to take part, once it is registered.
+func (m *Machine) startSharing(now machine.Instant) {
+	if m.joinAt > 0 || m.allotted == nil {
+		return
+	}
+	m.shareFrom, m.joinAt = now, now.Add(increaseDelay)
+	switch {
+	case m.successor:
+		m.joinAt = now.Add(successionDelay)
+		m.shareFrom = m.joinAt
+	case m.allotted.joined:
+		m.shareFrom = m.joinAt
+	}
+}
+
+// publishJoined publishes whether the host takes part in the limits. One that records
+// its divisions does so also while others hold all of a limit: it borrows.
+func (m *Machine) publishJoined(now machine.Instant) {
+	joined := m.base.effective > 0
+	if m.recorded {
+		joined = m.joinAt > 0 && (joined || now >= m.joinAt)
+	}
+	if joined != m.joined {
+		m.joined = joined
+		m.shares.SetJoined(joined)
+	}
+}
+
+// divisionOf returns the division of a customer's limit in the current view.
+func (m *Machine) divisionOf(a *account) Division {
+	if m.divide == nil {
+		return nil
+	}
+	return m.divide(m.view, a.id, a.burst)
+}
+
+// unitsOf returns the base share of a customer that the current view gives to this
+// host.
+func (m *Machine) unitsOf(a *account) int64 {
+	self := m.view.Find(m.view.Self.Host)
+	if self == nil || self.Member != m.view.Self {
+		return 0
+	}
+	if m.recorded {
+		return min(a.division.units(self), a.allotted)
+	}
+	return a.division.units(self)
+}
+
+// applyShares applies the changes of base shares that are due.
+func (m *Machine) applyShares(now machine.Instant) {
+	raised := m.base.applyChanges(now)
+	m.publishJoined(now)
+	if raised {
+		m.event(eventShare, "", fmt.Sprintf("base share raised to %d units", m.base.effective))
+	}
+	for _, a := range m.accounts {
+		if a.base.applyChanges(now) {
+			m.expireLoans(a, now)
+			m.publishUnits(a)
+		}
+	}
+}
