Edge: model of hosts whose fresh readers fail; fails on this code

Cause: each host chooses readers by its own view, and steps down before the chosen ones read; a silent reader is missed only after 5.5 s.

--- /dev/null
+++ b/edge/freshmodel_test.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/gossip"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+const (
+	// modelStep is the resolution of the model's clock; machines tick each modelTick.
+	modelStep = 10 * time.Millisecond
+	modelTick = 50 * time.Millisecond
+	// modelLatency is the time of a message between two hosts, modelCall that of a call to
+	// the store, modelRetry the time between two failed calls, modelStaleLag the age of
+	// stale reads.
+	modelLatency  = 40 * time.Millisecond
+	modelCall     = 100 * time.Millisecond
+	modelRetry    = 600 * time.Millisecond
+	modelStaleLag = 4 * time.Second
+	// modelStart is when a scenario begins: long after the hosts have started.
+	modelStart = machine.Instant(15 * time.Second)
+)
+
+// modelFleet runs the decisions of a fleet under a virtual clock beside a store with one
+// change.
+type modelFleet struct {
+	random   *rand.Rand
+	now      machine.Instant
+	hosts    []*modelHost
+	byID     map[fleet.HostID]*modelHost
+	messages []modelMessage
+	plan     []modelEvent
+	// changeAt is when the store acknowledges the change.
+	changeAt machine.Instant
+	starts   uint32
+	// joins is true if hosts that start from now on join a running fleet.
+	joins bool
+	// calls counts the calls to the store since modelStart at the price of a full call.
+	calls float64
+}
+
+type modelMessage struct {
+	at   machine.Instant
+	from fleet.Member
+	to   fleet.HostID
+	body machine.Message
+}
+
+type modelEvent struct {
+	at machine.Instant
+	do func()
+}
+
+// modelHost is one host with its copy of the store.
+type modelHost struct {
+	fleet     *modelFleet
+	entry     catalog.Host
+	member    fleet.Member
+	up, cut   bool
+	leaving   bool
+	startedAt machine.Instant
+	gossip    *gossip.Machine
+	role      modelRole
+	// changed is true once the change is in force on this host, touched once the
+	// scenario has disturbed it.
+	changed, touched bool
+	changedAt        machine.Instant
+	// listDone is when a list completes; 0 if none runs. listAt is when one is requested
+	// because a peer knows a later change; 0 if none does.
+	listDone, listAt machine.Instant
+	// watchEnds is when the current watch of a reader returns without a change.
+	watchEnds machine.Instant
+	known     uint64
+}
+
+const (
+	oldRevision uint64 = 1
+	newRevision uint64 = 2
+)
+
+func newModelFleet(n int, seed uint64, changeAt machine.Instant) *modelFleet {
+	f := &modelFleet{random: rand.New(rand.NewPCG(seed, 34)), byID: map[fleet.HostID]*modelHost{}, changeAt: changeAt}
+	for i := range n {
+		region := fleet.Region([]string{"nordland", "ostland", "vestland"}[i*3/n])
+		h := &modelHost{fleet: f, entry: catalog.Host{ID: fleet.HostID(fmt.Sprintf("h-%03d", i)), Location: fleet.Location{Region: region}}}
+		f.hosts = append(f.hosts, h)
+		f.byID[h.entry.ID] = h
+	}
+	for _, h := range f.hosts {
+		h.start()
+	}
+	f.joins = true
+	return f
+}
+
+// at plans an event of the scenario.
+func (f *modelFleet) at(after time.Duration, do func()) {
+	f.plan = append(f.plan, modelEvent{at: modelStart.Add(after), do: do})
+}
+
+// run plays the model until an instant and calls check after each step.
+func (f *modelFleet) run(until machine.Instant, check func()) {
+	for ; f.now < until; f.now = f.now.Add(modelStep) {
+		for i := range f.plan {
+			if f.plan[i].do != nil && f.now >= f.plan[i].at {
+				f.plan[i].do()
+				f.plan[i].do = nil
+			}
+		}
+		f.deliver()
+		for i, h := range f.hosts {
+			if !h.up {
+				continue
+			}
+			if (f.now.Sub(0)+time.Duration(i)*modelStep)%modelTick == 0 {
+				h.tick()
+			}
+			h.readStore()
+		}
+		check()
+	}
+}
+
+func (f *modelFleet) deliver() {
+	due := f.messages
+	f.messages = nil
+	for _, m := range due {
+		to := f.byID[m.to]
+		switch {
+		case m.at > f.now:
+			f.messages = append(f.messages, m)
+		case to != nil && to.up:
+			to.receive(machine.Received{From: m.from, Message: m.body})
+		}
+	}
+}
+
+func (h *modelHost) send(out machine.Send) {
+	f := h.fleet
+	f.messages = append(f.messages, modelMessage{at: f.now.Add(modelLatency), from: h.member, to: out.To, body: out.Message})
+}
+
+// start runs a new process of the host. Its first list is the latest state.
+func (h *modelHost) start() {
+	f := h.fleet
+	f.starts++
+	h.up, h.leaving, h.startedAt, h.known = true, false, f.now, oldRevision
+	h.listDone, h.listAt, h.watchEnds = f.now.Add(modelCall), 0, 0
+	h.member = fleet.Member{Host: h.entry.ID, Incarnation: gossip.IncarnationOf(f.starts)}
+	h.gossip = gossip.New(gossip.Config{Host: h.entry.ID, Location: h.entry.Location, Incarnation: f.starts, Joins: f.joins})
+	h.role = newModelRole(h)
+	all := make([]catalog.Host, 0, len(f.hosts))
+	for _, other := range f.hosts {
+		all = append(all, other.entry)
+	}
+	h.stepGossip(gossip.SetHosts{Hosts: all})
+	h.stepGossip(gossip.AnnounceSelf{})
+}
+
+func (h *modelHost) kill() { h.up, h.touched = false, true }
+
+// stop is a planned stop with the time that it takes on an idle host.
+func (h *modelHost) stop() {
+	h.touched, h.leaving = true, true
+	h.stepGossip(gossip.SetSelf{Leaving: true})
+	h.fleet.plan = append(h.fleet.plan, modelEvent{at: h.fleet.now.Add(acceptAfterStop), do: func() { h.up = false }})
+}
+
+func (h *modelHost) setCut(cut bool) { h.cut, h.touched = cut, true }
+
+// revisions returns the list that the host reports to its peers.
+func (h *modelHost) revisions() []uint64 {
+	if h.changed {
+		return []uint64{newRevision}
+	}
+	return []uint64{oldRevision}
+}
+
+func (h *modelHost) stepGossip(in machine.Input) {
+	for _, out := range h.gossip.Step(machine.Now{Instant: h.fleet.now}, in) {
+		switch out := out.(type) {
+		case machine.Send:
+			h.send(out)
+		case gossip.PeersChanged:
+			h.learn(out.Revisions)
+			h.role.peers(out.Peers)
+		}
+	}
+}
+
+// learn notes the revisions that peers know.
+func (h *modelHost) learn(revisions []uint64) {
+	if len(revisions) > 0 {
+		h.known = max(h.known, revisions[0])
+	}
+}
+
+// list requests the latest state unless it is being read.
+func (h *modelHost) list() {
+	if h.listDone == 0 {
+		h.listDone = h.fleet.now.Add(modelCall)
+		h.fleet.price(1)
+	}
+}
+
+func (f *modelFleet) price(calls float64) {
+	if f.now >= modelStart {
+		f.calls += calls
+	}
+}
+
+// readStore models catalog.Follow and checkStaleCopies for one kind of object.
+func (h *modelHost) readStore() {
+	now := h.fleet.now
+	visible := now >= h.fleet.changeAt.Add(modelCall/2)
+	switch {
+	case h.listDone != 0 && now >= h.listDone && h.cut:
+		h.listDone = now.Add(modelRetry)
+	case h.listDone != 0 && now >= h.listDone:
+		h.listDone, h.watchEnds = 0, now.Add(catalog.ShortWatchTimeout)
+		h.role.listed()
+		h.apply(visible)
+	case h.listDone != 0 || h.cut:
+	case h.role.reads():
+		if now >= h.watchEnds {
+			h.watchEnds = now.Add(catalog.ShortWatchTimeout)
+			h.fleet.price(1)
+		}
+		h.apply(visible)
+	default:
+		h.apply(now >= h.fleet.changeAt.Add(modelStaleLag))
+	}
+	switch {
+	case h.known < newRevision || h.changed:
+		h.listAt = 0
+	case h.listAt == 0:
+		h.listAt = now.Add(h.role.listDelay())
+	case now >= h.listAt:
+		h.list()
+	}
+}
+
+func (h *modelHost) apply(visible bool) {
+	if !visible || h.changed {
+		return
+	}
+	h.changed, h.changedAt = true, h.fleet.now
+	if h.role.reads() {
+		h.stepGossip(gossip.RevisionsObserved{Revisions: h.revisions()})
+	}
+}
