Choose fresh readers by who vouches, not by who should

Cause: every host chose the two fresh watchers by its own view of the fleet and acted on the choice alone. The others stepped down for a host that was back but did not read yet, a leaving host stepped down before its successor read, and a silent one was missed only after the 5.5 s of gossip. Class: a duty that is handed over by opinion, without word from the one that takes it.

Package freshness: a reader that is up to date says so to all hosts every 0.5 s, with the revisions that it has seen, and says at once when it is not. A reader ends only once its successors have said so for 1 s. A host that hears no such reader begins itself after at most 0.3 s, by a timer that few of many hosts end early, and lists; hosts that were without a reader list without a delay when they hear of a later revision.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -103,9 +103,9 @@
 	// CoalesceDelay is the delay between a change and the next watch, so that a burst of
 	// changes costs one call.
 	CoalesceDelay time.Duration
-	// Progress receives the revision up to which the copy is complete, and the revision
-	// of the last change.
-	Progress func(complete, changed uint64)
+	// Progress receives the revision up to which the copy is complete, the revision of
+	// the last change, and the consistency of the read that ended.
+	Progress func(complete, changed uint64, read Consistency)
 }
 
 // Follow keeps its observer up to date until the context ends.
@@ -139,7 +139,8 @@
 }
 
 func (f *follower[T]) list(ctx context.Context) {
-	state, err := f.source.List(ctx, f.nextListConsistency)
+	read := f.nextListConsistency
+	state, err := f.source.List(ctx, read)
 	f.nextListConsistency = Latest
 	if err != nil {
 		f.failed(ctx, err)
@@ -149,14 +150,14 @@
 	f.succeeded()
 	f.listed, f.revision = true, max(f.revision, state.Revision)
 	f.observer.Apply(Update[T]{Complete: true, Changes: state.Changes, Revision: state.Revision, AfterOutage: afterOutage})
-	f.progress(state.Changes)
+	f.progress(state.Changes, read)
 }
 
-func (f *follower[T]) progress(changes []Change[T]) {
+func (f *follower[T]) progress(changes []Change[T], read Consistency) {
 	for _, c := range changes {
 		f.lastChange = max(f.lastChange, c.Revision)
 	}
-	f.options.Progress(f.revision, f.lastChange)
+	f.options.Progress(f.revision, f.lastChange, read)
 }
 
 func (f *follower[T]) watch(ctx context.Context) {
@@ -183,7 +184,7 @@
 		if len(state.Changes) > 0 {
 			f.observer.Apply(Update[T]{Changes: state.Changes, Revision: state.Revision})
 		}
-		f.progress(state.Changes)
+		f.progress(state.Changes, read)
 		if len(state.Changes) > 0 {
 			sleep(ctx, f.options.CoalesceDelay)
 		}
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -48,7 +48,7 @@
 		defer close(done)
 		Follow(ctx, s, Options{
 			Relist: relist, Watch: func() (time.Duration, Consistency) { return time.Minute, Stale }, FirstList: Stale,
-			Progress: func(complete, changed uint64) { r.progress <- [2]uint64{complete, changed} },
+			Progress: func(complete, changed uint64, _ Consistency) { r.progress <- [2]uint64{complete, changed} },
 		}, Observer[string]{
 			Apply:       func(u Update[string]) { r.updates <- u },
 			Unreachable: func(error) { r.unreachable <- struct{}{} },
--- a/edge/control.go
+++ b/edge/control.go
@@ -15,6 +15,7 @@
 	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/freshness"
 	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/internal/control"
 	"github.com/catkinspring/catkinspring/limits"
@@ -30,7 +31,7 @@
 
 // moduleIDs identify the state machines in the control loop.
 type moduleIDs struct {
-	gossip, limits, quarantine, advisory control.ModuleID
+	gossip, limits, quarantine, advisory, freshness control.ModuleID
 }
 
 // newIncarnation returns a random incarnation. It is not 0, which package gossip uses
@@ -65,11 +66,14 @@
 	e.modules.advisory = e.loop.Add(control.Module{
 		Name: "advisory", Machine: advisory.New(e.Settings.ID), Output: e.advisoryOutput,
 	}, advisory.Messages())
+	e.modules.freshness = e.loop.Add(control.Module{
+		Name: "freshness", Machine: freshness.New(freshness.Config{Self: e.member, Joins: !e.Settings.FirstStart}), Output: e.freshnessOutput,
+	}, freshness.Messages())
 	e.loop.EverySecond = e.updateSelf
-	e.loop.EveryTick = e.checkStaleCopies
+	e.loop.EveryTick = e.checkCopies
 	datagrams, err := peer.ListenDatagrams(peer.DatagramConfig{
 		Self: e.member, Listen: e.Settings.Listen.Peers,
-		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages(), advisory.Messages()),
+		Types:   slices.Concat(gossip.Messages(), limits.Messages(), dispatch.Messages(), advisory.Messages(), freshness.Messages()),
 		Receive: e.loop.Receive, Metrics: e.hostMetrics.registry,
 	})
 	if err != nil {
@@ -151,13 +155,8 @@
 		return
 	}
 	e.peers.Store(&changed.Peers)
-	e.highestRevisions = changed.Revisions
-	if isFreshWatcher := e.isFreshWatcher(changed.Peers); e.freshWatcher.Swap(isFreshWatcher) != isFreshWatcher && isFreshWatcher {
-		// Ends the current watches, which may have a long timeout.
-		for i := range e.progress {
-			e.progress[i].requestList()
-		}
-	}
+	e.highestRevisions = freshness.MergeRevisions(e.highestRevisions, changed.Revisions)
+	e.loop.Forward(e.modules.freshness, freshness.SetPeers{Peers: changed.Peers})
 	e.steering.SetDemand(demandByRegion(changed.Peers))
 	if !changed.Membership {
 		return
@@ -189,10 +188,10 @@
 }
 
 // publishChangedEntries notifies the other hosts of upstreams that are cold according to
-// changed entries. Only the fresh watchers do that, so that a change costs few messages;
+// changed entries. Only the fresh readers do that, so that a change costs few messages;
 // it matters for hosts that do not reach the store.
 func (e *Edge) publishChangedEntries(changed []steering.UpstreamChange) {
-	if e.freshWatcher.Load() {
+	if e.freshReader.Load() {
 		e.publish(changed...)
 	}
 }
@@ -212,39 +211,6 @@
 	}
 }
 
-// freshWatchers is the number of hosts that watch the store with a short timeout
-// and read the latest state. With two, one remains after the loss of a region.
-const freshWatchers = 2
-
-// freshWatcherDelay is the time from the start until a host may be a fresh watcher.
-// When a fleet starts, its hosts register one after the other, and each would
-// otherwise select itself at first.
-const freshWatcherDelay = 3 * time.Second
-
-// isFreshWatcher reports whether this host is one of the fresh watchers. Among the
-// serving hosts sorted by ID, these are the first freshWatchers of different
-// regions. Hosts without a sign of life don't count, because they may have left.
-func (e *Edge) isFreshWatcher(peers []gossip.Peer) bool {
-	return e.now() >= machine.Instant(freshWatcherDelay) && isFreshWatcher(e.Settings.ID, peers)
-}
-
-func isFreshWatcher(self fleet.HostID, peers []gossip.Peer) bool {
-	var regions []fleet.Region
-	for _, p := range peers {
-		if !p.Alive || !p.Confirmed() || p.Leaving || slices.Contains(regions, p.Location.Region) {
-			continue
-		}
-		regions = append(regions, p.Location.Region)
-		if p.ID == self {
-			return true
-		}
-		if len(regions) == freshWatchers {
-			return false
-		}
-	}
-	return false
-}
-
 func demandByRegion(peers []gossip.Peer) map[fleet.Region]float64 {
 	demand := make(map[fleet.Region]float64)
 	for _, p := range peers {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -100,8 +100,14 @@
 	highestRevisions []uint64
 	// progress holds the state of the local copies by kind.
 	progress [kindCount]progress
-	// freshWatcher is true on a fresh watcher; see freshWatchers.
-	freshWatcher atomic.Bool
+	// freshReader is true on a fresh reader; see package freshness.
+	freshReader atomic.Bool
+	// unreachable is the number of kinds whose last call to the store failed.
+	unreachable atomic.Int32
+	// hasty is true while no fresh reader is heard of, and until hastyUntil; only the
+	// control loop uses them.
+	hasty      bool
+	hastyUntil machine.Instant
 
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil until the first list arrives.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,7 +12,6 @@
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/gossip"
 	"github.com/catkinspring/catkinspring/limits"
-	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/policy"
 	"github.com/catkinspring/catkinspring/steering"
 	"github.com/catkinspring/catkinspring/upstream"
@@ -70,77 +68,6 @@
 	return [...]string{"configuration", "upstreams", "evacuations", "hosts"}[k]
 }
 
-// progress holds how far the local copy of one kind is up to date.
-type progress struct {
-	// complete is the revision up to which the copy is complete, changed the revision
-	// of the last change.
-	complete, changed atomic.Uint64
-	// relist requests that the watch is replaced by a new list.
-	relist chan struct{}
-	// listAt is when a list is requested because a peer has reported a later change;
-	// 0 if none has. Only the control loop uses it.
-	listAt machine.Instant
-}
-
-const (
-	// staleGrace is how long a peer may have a later change, in addition to the delay
-	// of the kind, before a list is requested.
-	staleGrace = 150 * time.Millisecond
-	// relistInterval is the time before the list is requested again.
-	relistInterval = 2 * time.Second
-)
-
-// checkStaleCopies requests a list of each kind of which a peer has had a later
-// change for longer than the watch takes to deliver it.
-func (e *Edge) checkStaleCopies() {
-	now := e.now()
-	for i := range min(len(e.highestRevisions), len(e.progress)) {
-		p := &e.progress[i]
-		switch {
-		case e.highestRevisions[i] <= p.complete.Load():
-			p.listAt = 0
-		case p.listAt == 0:
-			p.listAt = now.Add(staleGrace + coalesceDelays[i])
-		case now >= p.listAt:
-			p.listAt = now.Add(relistInterval)
-			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.highestRevisions[i]).Msg("a peer knows a later change")
-			p.requestList()
-		}
-	}
-}
-
-// requestList ends the current watch and reads a new list.
-func (p *progress) requestList() {
-	select {
-	case p.relist <- struct{}{}:
-	default:
-		// A list has already been requested.
-	}
-}
-
-// revisions returns the revision of the last change of each kind on this host.
-func (e *Edge) revisions() []uint64 {
-	list := make([]uint64, len(e.progress))
-	for i := range e.progress {
-		list[i] = e.progress[i].changed.Load()
-	}
-	return list
-}
-
-// watchMode returns the long-poll timeout and the consistency of this host's next
-// watch. The fresh watchers use short timeouts and read the latest state, to find
-// changes that all watches missed. The other hosts may lag: the fresh watchers report
-// to them what they have missed, and they list it then.
-func (e *Edge) watchMode(k kind) (time.Duration, catalog.Consistency) {
-	switch {
-	case !e.freshWatcher.Load():
-		return catalog.LongWatchTimeout, catalog.Stale
-	case k == kindHosts:
-		return catalog.LongWatchTimeout, catalog.Latest
-	}
-	return catalog.ShortWatchTimeout, catalog.Latest
-}
-
 // firstListConsistency returns the consistency of the first list of a process. A
 // process that restarts under traffic must not start with a configuration that is
 // seconds old.
@@ -153,23 +80,35 @@
 
 // followKind keeps the local copy of one kind up to date.
 func followKind[T any](ctx context.Context, group *conc.WaitGroup, e *Edge, k kind, s catalog.Source[T], apply func(catalog.Update[T])) {
+	p := &e.progress[k]
 	observer := catalog.Observer[T]{
 		Apply: func(u catalog.Update[T]) {
 			e.logUnusable(k, u.Revision, unusable(u.Changes))
 			apply(u)
 		},
-		Unreachable: func(err error) { e.log.Warn().Stringer("kind", k).Err(err).Msg("store is not reachable") },
-		Reachable:   func() { e.log.Info().Stringer("kind", k).Msg("store is reachable again") },
+		Unreachable: func(err error) {
+			e.unreachable.Add(1)
+			p.setUpToDateUntil(0)
+			e.log.Warn().Stringer("kind", k).Err(err).Msg("store is not reachable")
+		},
+		Reachable: func() {
+			e.unreachable.Add(-1)
+			e.log.Info().Stringer("kind", k).Msg("store is reachable again")
+		},
 	}
-	p := &e.progress[k]
 	options := catalog.Options{
 		Relist:        p.relist,
 		FirstList:     e.firstListConsistency(),
 		CoalesceDelay: coalesceDelays[k],
-		Watch:         func() (time.Duration, catalog.Consistency) { return e.watchMode(k) },
-		Progress: func(complete, changed uint64) {
+		Watch: func() (time.Duration, catalog.Consistency) {
+			wait, read := e.watchMode(k)
+			p.watchBegins(e.now(), wait, read)
+			return wait, read
+		},
+		Progress: func(complete, changed uint64, read catalog.Consistency) {
 			p.complete.Store(complete)
-			if p.changed.Swap(changed) < changed && e.freshWatcher.Load() {
+			p.readEnds(e.now(), coalesceDelays[k], read)
+			if p.changed.Swap(changed) < changed && e.freshReader.Load() {
 				e.loop.Post(e.modules.gossip, gossip.RevisionsObserved{Revisions: e.revisions()})
 			}
 		},
--- a/edge/freshmodel_test.go
+++ b/edge/freshmodel_test.go
@@ -23,13 +23,15 @@
 	modelRetry    = 600 * time.Millisecond
 	modelStaleLag = 4 * time.Second
 	// modelStart is when a scenario begins: long after the hosts have started.
-	modelStart = machine.Instant(15 * time.Second)
+	modelStart = machine.Instant(8 * time.Second)
 )
 
 // modelFleet runs the decisions of a fleet under a virtual clock beside a store with one
 // change.
 type modelFleet struct {
-	random   *rand.Rand
+	random *rand.Rand
+	// loss is the share of messages that are lost.
+	loss     float64
 	now      machine.Instant
 	hosts    []*modelHost
 	byID     map[fleet.HostID]*modelHost
@@ -40,14 +42,14 @@
 	starts   uint32
 	// joins is true if hosts that start from now on join a running fleet.
 	joins bool
-	// calls counts the calls to the store since modelStart at the price of a full call.
-	calls float64
+	// calls counts the calls to the store since modelStart that read the latest state.
+	calls int
 }
 
 type modelMessage struct {
 	at   machine.Instant
 	from fleet.Member
-	to   fleet.HostID
+	to   *modelHost
 	body machine.Message
 }
 
@@ -58,18 +60,17 @@
 
 // modelHost is one host with its copy of the store.
 type modelHost struct {
-	fleet     *modelFleet
-	entry     catalog.Host
-	member    fleet.Member
-	up, cut   bool
-	leaving   bool
-	startedAt machine.Instant
-	gossip    *gossip.Machine
-	role      modelRole
+	fleet   *modelFleet
+	entry   catalog.Host
+	member  fleet.Member
+	up, cut bool
+	// lacks are the hosts that this host's list of hosts lacks.
+	lacks  map[fleet.HostID]bool
+	gossip *gossip.Machine
+	role   *modelRole
 	// changed is true once the change is in force on this host, touched once the
 	// scenario has disturbed it.
 	changed, touched bool
-	changedAt        machine.Instant
 	// listDone is when a list completes; 0 if none runs. listAt is when one is requested
 	// because a peer knows a later change; 0 if none does.
 	listDone, listAt machine.Instant
@@ -127,46 +128,62 @@
 }
 
 func (f *modelFleet) deliver() {
-	due := f.messages
-	f.messages = nil
-	for _, m := range due {
-		to := f.byID[m.to]
-		switch {
-		case m.at > f.now:
-			f.messages = append(f.messages, m)
-		case to != nil && to.up:
-			to.receive(machine.Received{From: m.from, Message: m.body})
+	// All messages take the same time, so they are due in the order in which they were sent.
+	for len(f.messages) > 0 && f.messages[0].at <= f.now {
+		m := f.messages[0]
+		f.messages = f.messages[1:]
+		if m.to.up {
+			m.to.receive(machine.Received{From: m.from, Message: m.body})
 		}
 	}
 }
 
 func (h *modelHost) send(out machine.Send) {
 	f := h.fleet
-	f.messages = append(f.messages, modelMessage{at: f.now.Add(modelLatency), from: h.member, to: out.To, body: out.Message})
+	if f.random.Float64() >= f.loss {
+		f.messages = append(f.messages, modelMessage{at: f.now.Add(modelLatency), from: h.member, to: f.byID[out.To], body: out.Message})
+	}
 }
 
 // start runs a new process of the host. Its first list is the latest state.
 func (h *modelHost) start() {
 	f := h.fleet
 	f.starts++
-	h.up, h.leaving, h.startedAt, h.known = true, false, f.now, oldRevision
+	h.up, h.known = true, oldRevision
 	h.listDone, h.listAt, h.watchEnds = f.now.Add(modelCall), 0, 0
 	h.member = fleet.Member{Host: h.entry.ID, Incarnation: gossip.IncarnationOf(f.starts)}
 	h.gossip = gossip.New(gossip.Config{Host: h.entry.ID, Location: h.entry.Location, Incarnation: f.starts, Joins: f.joins})
 	h.role = newModelRole(h)
+	h.stepGossip(h.hostList())
+	h.stepGossip(gossip.AnnounceSelf{})
+}
+
+// listWithout sets a list of hosts that lacks some.
+func (h *modelHost) listWithout(lacks ...*modelHost) {
+	h.lacks = map[fleet.HostID]bool{}
+	for _, other := range lacks {
+		h.lacks[other.entry.ID] = true
+	}
+	h.stepGossip(h.hostList())
+}
+
+// hostList returns the list of hosts that the host has.
+func (h *modelHost) hostList() gossip.SetHosts {
+	f := h.fleet
 	all := make([]catalog.Host, 0, len(f.hosts))
 	for _, other := range f.hosts {
-		all = append(all, other.entry)
+		if !h.lacks[other.entry.ID] {
+			all = append(all, other.entry)
+		}
 	}
-	h.stepGossip(gossip.SetHosts{Hosts: all})
-	h.stepGossip(gossip.AnnounceSelf{})
+	return gossip.SetHosts{Hosts: all}
 }
 
 func (h *modelHost) kill() { h.up, h.touched = false, true }
 
 // stop is a planned stop with the time that it takes on an idle host.
 func (h *modelHost) stop() {
-	h.touched, h.leaving = true, true
+	h.touched = true
 	h.stepGossip(gossip.SetSelf{Leaving: true})
 	h.fleet.plan = append(h.fleet.plan, modelEvent{at: h.fleet.now.Add(acceptAfterStop), do: func() { h.up = false }})
 }
@@ -204,13 +221,13 @@
 func (h *modelHost) list() {
 	if h.listDone == 0 {
 		h.listDone = h.fleet.now.Add(modelCall)
-		h.fleet.price(1)
+		h.fleet.countCall()
 	}
 }
 
-func (f *modelFleet) price(calls float64) {
+func (f *modelFleet) countCall() {
 	if f.now >= modelStart {
-		f.calls += calls
+		f.calls++
 	}
 }
 
@@ -229,7 +246,7 @@
 	case h.role.reads():
 		if now >= h.watchEnds {
 			h.watchEnds = now.Add(catalog.ShortWatchTimeout)
-			h.fleet.price(1)
+			h.fleet.countCall()
 		}
 		h.apply(visible)
 	default:
@@ -249,7 +266,7 @@
 	if !visible || h.changed {
 		return
 	}
-	h.changed, h.changedAt = true, h.fleet.now
+	h.changed = true
 	if h.role.reads() {
 		h.stepGossip(gossip.RevisionsObserved{Revisions: h.revisions()})
 	}
--- /dev/null
+++ b/edge/progress.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinspring/catkinspring/catalog"
+	"github.com/catkinspring/catkinspring/freshness"
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// progress holds how far the local copy of one kind is up to date.
+type progress struct {
+	// complete is the revision up to which the copy is complete, changed the revision
+	// of the last change.
+	complete, changed atomic.Uint64
+	// relist requests that the watch is replaced by a new list.
+	relist chan struct{}
+	// upToDateUntil is the machine.Instant until which the copy counts as up to date; 0
+	// if its last read was a stale one or failed. lastRead is the consistency of the last
+	// read; only the goroutine that follows the kind uses it.
+	upToDateUntil atomic.Int64
+	lastRead      catalog.Consistency
+	// listAt is when a list is requested because a peer has reported a later change;
+	// 0 if none has. Only the control loop uses it.
+	listAt machine.Instant
+}
+
+const (
+	// staleGrace is how long a peer may have a later change, in addition to the delay
+	// of the kind, before a list is requested.
+	staleGrace = 150 * time.Millisecond
+	// relistInterval is the time before the list is requested again.
+	relistInterval = 2 * time.Second
+	// overdueSlack is how much later than its timeout a watch of a fresh reader may
+	// return before the copy no longer counts as up to date: a round trip between regions
+	// takes about 110 ms.
+	overdueSlack = 300 * time.Millisecond
+	// hastyTime is how long hosts list without a delay after they have heard of a fresh
+	// reader again.
+	hastyTime = time.Second
+)
+
+// watchBegins notes that a watch begins.
+func (p *progress) watchBegins(now machine.Instant, wait time.Duration, read catalog.Consistency) {
+	if read != catalog.Latest || p.lastRead != catalog.Latest {
+		p.setUpToDateUntil(0)
+		return
+	}
+	p.setUpToDateUntil(now.Add(wait + overdueSlack))
+}
+
+// readEnds notes an answer of the store; the next watch begins after a delay.
+func (p *progress) readEnds(now machine.Instant, delay time.Duration, read catalog.Consistency) {
+	p.lastRead = read
+	if read == catalog.Latest {
+		p.setUpToDateUntil(now.Add(delay + overdueSlack))
+	}
+}
+
+func (p *progress) setUpToDateUntil(t machine.Instant) { p.upToDateUntil.Store(int64(t)) }
+
+// vouchedKinds are the kinds of which a fresh reader must have the latest state. It
+// watches the list of hosts with a long timeout.
+var vouchedKinds = [...]kind{kindConfiguration, kindUpstreams, kindEvacuations}
+
+// checkCopies passes the state of the copies to the freshness machine and requests
+// lists of those that lag.
+func (e *Edge) checkCopies() {
+	now := e.now()
+	upToDate := true
+	for _, k := range vouchedKinds {
+		upToDate = upToDate && now < machine.Instant(e.progress[k].upToDateUntil.Load())
+	}
+	e.loop.Forward(e.modules.freshness, freshness.SetCopy{
+		UpToDate: upToDate, Reachable: e.unreachable.Load() == 0, Revisions: e.revisions(),
+	})
+	e.checkStaleCopies(now)
+}
+
+// freshnessOutput applies what the freshness machine decided.
+func (e *Edge) freshnessOutput(now machine.Now, out machine.Output) {
+	state, ok := out.(freshness.State)
+	if !ok {
+		return
+	}
+	e.highestRevisions = freshness.MergeRevisions(e.highestRevisions, state.Revisions)
+	if e.hasty && state.Vouched {
+		e.hastyUntil = now.Instant.Add(hastyTime)
+	}
+	if e.hasty == state.Vouched {
+		e.hasty = !state.Vouched
+		e.log.Info().Bool("heard", state.Vouched).Msg("fresh readers changed")
+	}
+	if e.freshReader.Swap(state.Reads) == state.Reads {
+		return
+	}
+	e.log.Info().Bool("reads", state.Reads).Msg("role of fresh reader changed")
+	if state.Reads {
+		// Ends the current watches, which may have a long timeout.
+		for i := range e.progress {
+			e.progress[i].requestList()
+		}
+	}
+}
+
+// listDelay returns how long a peer may have a later change of a kind before a list is
+// requested. Without fresh readers, the change may be old when the host hears of it.
+func listDelay(k kind, hasty bool) time.Duration {
+	if hasty {
+		return 0
+	}
+	return staleGrace + coalesceDelays[k]
+}
+
+// checkStaleCopies requests a list of each kind of which a peer has had a later
+// change for longer than the watch takes to deliver it.
+func (e *Edge) checkStaleCopies(now machine.Instant) {
+	for i := range min(len(e.highestRevisions), len(e.progress)) {
+		p := &e.progress[i]
+		switch {
+		case e.highestRevisions[i] <= p.complete.Load():
+			p.listAt = 0
+		case p.listAt == 0:
+			p.listAt = now.Add(listDelay(kind(i), e.hasty || now < e.hastyUntil))
+		case now >= p.listAt:
+			p.listAt = now.Add(relistInterval)
+			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.highestRevisions[i]).Msg("a peer knows a later change")
+			p.requestList()
+		}
+	}
+}
+
+// requestList ends the current watch and reads a new list.
+func (p *progress) requestList() {
+	select {
+	case p.relist <- struct{}{}:
+	default:
+		// A list has already been requested.
+	}
+}
+
+// revisions returns the revision of the last change of each kind on this host.
+func (e *Edge) revisions() []uint64 {
+	list := make([]uint64, len(e.progress))
+	for i := range e.progress {
+		list[i] = e.progress[i].changed.Load()
+	}
+	return list
+}
+
+// watchMode returns the long-poll timeout and the consistency of this host's next
+// watch. The fresh readers use short timeouts and read the latest state, to find
+// changes that all watches missed. The other hosts may lag: the fresh readers report
+// to them what they have missed, and they list it then.
+func (e *Edge) watchMode(k kind) (time.Duration, catalog.Consistency) {
+	switch {
+	case !e.freshReader.Load():
+		return catalog.LongWatchTimeout, catalog.Stale
+	case k == kindHosts:
+		return catalog.LongWatchTimeout, catalog.Latest
+	}
+	return catalog.ShortWatchTimeout, catalog.Latest
+}
