--- a/edge/freshmodel_test.go
+++ b/edge/freshmodel_test.go
@@ -37,6 +37,8 @@
 	byID     map[fleet.HostID]*modelHost
 	messages []modelMessage
 	plan     []modelEvent
+	// slow is how much later the store answers each call.
+	slow time.Duration
 	// changeAt is when the store acknowledges the change.
 	changeAt machine.Instant
 	starts   uint32
@@ -220,7 +222,7 @@
 // list requests the latest state unless it is being read.
 func (h *modelHost) list() {
 	if h.listDone == 0 {
-		h.listDone = h.fleet.now.Add(modelCall)
+		h.listDone = h.fleet.now.Add(modelCall + h.fleet.slow)
 		h.fleet.countCall()
 	}
 }
@@ -244,7 +246,7 @@
 		h.apply(visible)
 	case h.listDone != 0 || h.cut:
 	case h.role.reads():
-		if now >= h.watchEnds {
+		if now >= h.watchEnds.Add(h.fleet.slow) {
 			h.watchEnds = now.Add(catalog.ShortWatchTimeout)
 			h.fleet.countCall()
 		}
--- a/edge/freshread_test.go
+++ b/edge/freshread_test.go
@@ -195,6 +195,11 @@
 		killReaders(f)
 		f.run(modelStart.Add(span), func() {})
 		require.LessOrEqual(t, f.calls, 2*quiet, "fleet of %d whose readers were killed", n)
+
+		f = newModelFleet(n, 1, 0)
+		f.at(0, func() { f.slow = 700 * time.Millisecond })
+		f.run(modelStart.Add(span), func() {})
+		require.LessOrEqual(t, f.calls, 2*quiet, "fleet of %d whose store is slow", n)
 	}
 }
 
