--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -24,6 +24,9 @@
 	// lingerTime is how long linger waits for the caller to read the last response and
 	// to close its side.
 	lingerTime = 500 * time.Millisecond
+	// maxDiscardedBytes bounds what is read behind the last request of a connection while
+	// that request runs.
+	maxDiscardedBytes = 1 << 20
 )
 
 // keepAlive detects callers whose machine is unresponsive. The kernel resets their
@@ -54,6 +57,10 @@
 	reading bool
 	// open holds the accepted requests without a response, in order.
 	open []*pendingRequest
+	// writing is the request whose response is being written.
+	writing *pendingRequest
+	// readingStopped is true once incomplete requests are refused.
+	readingStopped bool
 	// closing is true once no further request is accepted.
 	closing bool
 	// closeRequested is true while closeIfIdle waits for the reader to end.
@@ -109,18 +116,22 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
+	if !c.writeClosed && upstream.UnsentBytes(c.raw) > 0 {
+		c.closeWrite()
+	}
 	if c.writeClosed {
 		c.linger()
 	}
 }
 
-// linger discards what the caller still sends. Closing a connection with unread
-// bytes would reset it, and the caller might lose the last response.
+// linger discards what the caller still sends, at most until writeTimeout has passed or
+// the caller has the last response. Closing a connection with unread bytes would reset
+// it, and the caller might lose that response.
 func (c *conn) linger() {
 	for end := time.Now().Add(writeTimeout); ; {
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
 		_, err := io.Copy(io.Discard, c.raw)
-		if !isTimeout(err) || !hasUnsentBytes(c.raw) || time.Now().After(end) {
+		if !isTimeout(err) || upstream.UnsentBytes(c.raw) == 0 || time.Now().After(end) {
 			return
 		}
 	}
@@ -142,14 +153,16 @@
 		}
 		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: request.Close}
 		if !c.accept(p) {
+			c.reportUnanswered(p, &NotAcceptedError{})
 			request.memory.Release()
+			c.watchForDisconnect()
 			return
 		}
 		go func() {
 			p.response <- c.server.config.Handler(c.ctx, request)
 			request.memory.Release()
 		}()
-		c.queue <- p
+		c.enqueue(p)
 		if p.last {
 			c.watchForDisconnect()
 			return
@@ -157,13 +170,36 @@
 	}
 }
 
+// enqueue appends a request to the queue. While the queue is full, it cancels the
+// accepted requests if the caller disconnects.
+func (c *conn) enqueue(p *pendingRequest) {
+	select {
+	case c.queue <- p:
+		return
+	default:
+	}
+	// The next bytes stay in the buffer, which holds no more than this.
+	c.limit.start(readBufferBytes+1, &HeaderTooLargeError{})
+	_ = c.raw.SetReadDeadline(time.Time{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		if err != nil && !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+			c.cancel()
+		}
+	}()
+	c.queue <- p
+	_ = c.raw.SetReadDeadline(pastDeadline)
+	<-watched
+}
+
 // watchForDisconnect cancels the accepted requests if the caller disconnects before
-// the last response.
+// the last response. What it sends behind the last request is discarded.
 func (c *conn) watchForDisconnect() {
-	c.limit.start(1, &HeaderTooLargeError{})
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, net.ErrClosed) {
+		if _, err := io.CopyN(io.Discard, c.raw, maxDiscardedBytes); err != nil && !errors.Is(err, net.ErrClosed) {
 			c.cancel()
 		}
 	}()
@@ -199,7 +235,7 @@
 		return &ClosingError{}
 	case c.closeRequested:
 		return c.raw.SetReadDeadline(pastDeadline)
-	case len(c.open) > 0:
+	case len(c.open) > 0 || c.writing != nil:
 		return c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
 	return c.raw.SetReadDeadline(c.lastUsed.Add(idleTimeout))
@@ -230,29 +266,29 @@
 		c.lastUsed = time.Now()
 		return false
 	}
-	if len(c.open) > 0 || !requested && time.Since(c.lastUsed) < idleTimeout {
+	if len(c.open) > 0 || c.writing != nil || !requested && time.Since(c.lastUsed) < idleTimeout {
 		return false
 	}
 	c.closing = true
 	return true
 }
 
-// accept decides whether a request that was read is handled. While the server drains,
-// a request is accepted only if no other one is open on its connection, and then it is
-// the last one; requests behind a response that closes the connection count as not
-// sent.
+// accept decides whether a request that was read is handled. Once connections are not
+// reused any more, it is accepted only if no other one is open on its connection, and
+// then it is the last one; requests behind a response that closes the connection count
+// as not sent.
 func (c *conn) accept(p *pendingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	draining := c.server.draining.Load()
-	if c.closing || draining && len(c.open) > 0 {
-		if draining {
+	reuseEnded := c.server.reuseEnded.Load()
+	if c.closing || reuseEnded && len(c.open) > 0 {
+		if c.server.draining.Load() && p.request != nil {
 			c.server.droppedPipelined.Add(1)
 		}
 		return false
 	}
-	p.last = p.last || draining
+	p.last = p.last || reuseEnded
 	c.open = append(c.open, p)
 	return true
 }
@@ -261,15 +297,23 @@
 func (c *conn) remove(p *pendingRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+	c.removeOpen(p)
+	if c.writing == p {
+		c.writing = nil
+	}
 	c.lastUsed, c.used = time.Now(), true
 }
 
+// removeOpen removes a request from the open ones. c.mu must be held.
+func (c *conn) removeOpen(p *pendingRequest) {
+	c.open = slices.DeleteFunc(c.open, func(other *pendingRequest) bool { return other == p })
+}
+
 // openRequests returns the accepted requests without a response.
 func (c *conn) openRequests() []*Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	requests := make([]*Request, 0, len(c.open))
+	var requests []*Request
 	for _, p := range c.open {
 		if p.request != nil {
 			requests = append(requests, p.request)
@@ -278,6 +322,17 @@
 	return requests
 }
 
+// unwritten returns the requests whose responses are not written.
+func (c *conn) unwritten() []*Request {
+	requests := c.openRequests()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing != nil && c.writing.request != nil {
+		requests = append(requests, c.writing.request)
+	}
+	return requests
+}
+
 // closeIfIdle closes a connection without open requests, and reports whether it did.
 // A request that has arrived but was not read counts as open.
 func (c *conn) closeIfIdle() bool {
@@ -292,20 +347,35 @@
 }
 
 // isIdle reports whether no request is open or arriving. c.mu must be held.
-func (c *conn) isIdle() bool { return len(c.open) == 0 && !c.reading && !c.closing }
+func (c *conn) isIdle() bool {
+	return len(c.open) == 0 && c.writing == nil && !c.reading && !c.closing
+}
 
-// idleFor returns how long the connection has been unused, and whether it is idle.
+// idleFor returns how long the connection has been unused, and whether it is idle and
+// was not asked to close yet.
 func (c *conn) idleFor(now time.Time) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.lastUsed), c.isIdle()
+	return now.Sub(c.lastUsed), c.isIdle() && !c.closeRequested
 }
 
 // stopReading interrupts the reading of a request that is not complete.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readingStopped = true
 	if c.reading {
 		_ = c.raw.SetReadDeadline(pastDeadline)
 	}
 }
+
+// setReadDeadline sets the deadline for the rest of a request, unless stopReading was
+// called.
+func (c *conn) setReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readingStopped {
+		deadline = pastDeadline
+	}
+	return c.raw.SetReadDeadline(deadline)
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,16 +1,17 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/catkinspring/catkinspring/internal/backlog"
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
 )
 
@@ -23,8 +24,8 @@
 	// work ends when Abort gives up the open requests.
 	work  context.Context
 	abort context.CancelCauseFunc
-	// draining is true once Drain was called.
-	draining atomic.Bool
+	// draining is true once Drain was called, reuseEnded once EndReuse was.
+	draining, reuseEnded atomic.Bool
 	// droppedPipelined counts the requests that a drain has not accepted because another
 	// one was open on their connection.
 	droppedPipelined atomic.Int64
@@ -32,6 +33,8 @@
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	group sync.WaitGroup
+	// serving waits for calls of Serve.
+	serving sync.WaitGroup
 }
 
 // Config configures a Server.
@@ -59,6 +62,8 @@
 
 // Serve accepts connections until the listener is closed or StopAccepting is called.
 func (s *Server) Serve(l net.Listener) error {
+	s.serving.Add(1)
+	defer s.serving.Done()
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -76,29 +81,13 @@
 // StopAccepting ends Serve, serves the connections that the kernel has already
 // accepted, and closes the listener. Closing it alone would reset them.
 func (s *Server) StopAccepting(l *net.TCPListener) error {
-	err := l.SetDeadline(time.Unix(1, 0))
-	raw, rawErr := l.SyscallConn()
-	err = errors.Join(err, rawErr)
-	if rawErr == nil {
-		err = errors.Join(err, raw.Control(func(fd uintptr) {
-			for {
-				accepted, _, acceptErr := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-				if acceptErr != nil {
-					return // usually EAGAIN: the backlog is empty
-				}
-				s.startAccepted(accepted)
-			}
-		}))
-	}
-	return errors.Join(err, l.Close())
-}
-
-// startAccepted serves a connection that was accepted by a system call.
-func (s *Server) startAccepted(fd int) {
-	file := os.NewFile(uintptr(fd), "caller")
-	defer func() { _ = file.Close() }()
-	// FileConn duplicates the descriptor.
-	if raw, err := net.FileConn(file); err == nil {
+	err := l.SetDeadline(pastDeadline)
+	s.serving.Wait()
+	for {
+		raw, acceptErr := backlog.Accept(l)
+		if raw == nil {
+			return errors.Join(err, acceptErr, l.Close())
+		}
 		s.startConn(raw)
 	}
 }
@@ -133,30 +122,37 @@
 // closeIdle closes the connection of a sample that has been idle for longest. s.mu
 // must be held.
 func (s *Server) closeIdle(now time.Time) bool {
-	var oldest *conn
-	longest, sampled := time.Duration(-1), 0
+	type candidate struct {
+		conn *conn
+		idle time.Duration
+	}
+	candidates := make([]candidate, 0, evictionSampleSize)
+	sampled := 0
 	for c := range s.conns {
-		if idle, ok := c.idleFor(now); ok && idle > longest {
-			oldest, longest = c, idle
+		if idle, ok := c.idleFor(now); ok {
+			candidates = append(candidates, candidate{c, idle})
 		}
 		if sampled++; sampled == evictionSampleSize {
 			break
 		}
 	}
-	return oldest != nil && oldest.closeIfIdle()
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.idle, a.idle) })
+	return slices.ContainsFunc(candidates, func(c candidate) bool { return c.conn.closeIfIdle() })
 }
 
 // NearConnectionLimit reports whether more than half of MaxConnections are open.
 // Responses after which callers do not reuse the connection should then close it.
 func (s *Server) NearConnectionLimit() bool { return s.Connections() > s.config.MaxConnections/2 }
 
-// Drain closes idle connections at once, and the others after the responses to the
-// requests that were accepted. Connections that have sent no request, or only a part of
-// one, may still send that request.
-func (s *Server) Drain() {
-	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Drain closes each connection after the response to its only open request. Callers may
+// still use their connections until EndReuse is called: they may not know yet that the
+// host leaves, and a request may be on its way.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// EndReuse closes idle connections, and each other one after its open requests: a request
+// that is read behind an open one is not accepted. Drain must have been called.
+func (s *Server) EndReuse() {
+	s.reuseEnded.Store(true)
 	s.closeAllIdle()
 }
 
@@ -179,8 +175,10 @@
 // another one was open on their connection.
 func (s *Server) DroppedPipelined() int64 { return s.droppedPipelined.Load() }
 
-// closeAllIdle closes the idle connections. s.mu must be held.
+// closeAllIdle closes the idle connections.
 func (s *Server) closeAllIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.closeIfIdle()
 	}
@@ -207,12 +205,23 @@
 	return open
 }
 
+// UnwrittenRequests returns the requests whose responses are not written whole.
+func (s *Server) UnwrittenRequests() []*Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var unwritten []*Request
+	for c := range s.conns {
+		unwritten = append(unwritten, c.unwritten()...)
+	}
+	return unwritten
+}
+
 // closeIdleInterval is the interval in which Wait closes connections that have become
-// idle without a response, because their callers have sent nothing.
+// idle.
 const closeIdleInterval = 200 * time.Millisecond
 
-// Wait waits until all connections are closed or the context ends. Drain must have
-// been called.
+// Wait waits until all connections are closed or the context ends. EndReuse must have been
+// called.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
@@ -222,15 +231,13 @@
 	ticker := time.NewTicker(closeIdleInterval)
 	defer ticker.Stop()
 	for {
+		s.closeAllIdle()
 		select {
 		case <-done:
 			return
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.mu.Lock()
-			s.closeAllIdle()
-			s.mu.Unlock()
 		}
 	}
 }
--- a/ingress/write.go
+++ b/ingress/write.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // writeTimeout is the timeout for sending a response to a caller that reads slowly.
@@ -19,6 +16,12 @@
 
 func (*ConnectionEndedError) Error() string { return "an earlier response ended the connection" }
 
+// NotAcceptedError reports a request that was read behind an open one of its connection
+// while the server drains, or behind the last response.
+type NotAcceptedError struct{}
+
+func (*NotAcceptedError) Error() string { return "not accepted on a connection that is being closed" }
+
 // writeResponses writes the responses in the order of the requests. A response that
 // closes the connection is the last one: later requests get no response.
 func (c *conn) writeResponses() {
@@ -41,8 +44,6 @@
 		if done || closesAfter {
 			done = true
 			c.closeWrite()
-		} else if c.server.draining.Load() {
-			c.closeIfIdle()
 		}
 	}
 }
@@ -67,19 +68,16 @@
 // server drains or the response requests it, that is once no other request is open,
 // because pipelined requests may already be running.
 func (c *conn) closesAfter(p *pendingRequest, response *Response) bool {
-	if p.last {
-		return true
-	}
-	if !response.Close && !c.server.draining.Load() {
-		return false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.open) > 1 {
-		return false
-	}
-	c.closing = true
-	return true
+	requested := response.Close || c.server.draining.Load()
+	closes := p.last || requested && len(c.open) == 1 && (!c.reading || c.server.reuseEnded.Load())
+	c.closing = c.closing || closes
+	// The caller may send its next request as soon as it has the response, and that one
+	// is not behind an open request.
+	c.removeOpen(p)
+	c.writing = p
+	return closes
 }
 
 // closeWrite closes the sending side, stops the reader and cancels the requests that
@@ -113,23 +111,3 @@
 	_, err := c.raw.Write(b.Bytes())
 	return err
 }
-
-// hasUnsentBytes reports whether the caller has not acknowledged all bytes that were
-// written. It is false where the system can't tell.
-func hasUnsentBytes(raw net.Conn) bool {
-	tcp, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unsent := 0
-	err = control.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil {
-			unsent = n
-		}
-	})
-	return err == nil && unsent > 0
-}
