--- a/review/rig/withdraw.go
+++ b/review/rig/withdraw.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 func init() { cases["withdraw"] = withdrawCase }
@@ -29,36 +31,36 @@
 
 // withdrawCase kills the two hosts that read the latest state, withdraws a key, a backend
 // and a zone at once, and checks until when the other hosts use them.
-func withdrawCase(r *rig) (bool, error) {
-	r.store.staleLag = withdrawLag
-	set := &backends{rig: r, work: staleWork}
+func withdrawCase(r *setup) (bool, error) {
+	r.Store.StaleLag = withdrawLag
+	set := &rig.Upstreams{Rig: r.Rig, Work: staleWork}
 	zoneOf := map[string]string{}
-	var drained *backend
+	var drained *rig.Upstream
 	for i, zone := range []string{"ost-a", "ost-b", "vest-a", "vest-b", "nord-a", "nord-b"} {
-		one, err := set.add(fmt.Sprintf("i-%s-%d", serviceName, i), serviceName, zone, 12)
+		one, err := set.Add(fmt.Sprintf("i-%s-%d", rig.ServiceName, i), rig.ServiceName, zone, 12)
 		if err != nil {
 			return false, err
 		}
-		zoneOf[one.id] = zone
+		zoneOf[one.ID] = zone
 		if zone == "vest-a" {
 			drained = one
 		}
 	}
-	r.store.put("config", "main", configuration(oldVersion, keyKept, keyRevoked))
+	r.Store.Put("config", "main", rig.Configuration(oldVersion, rig.KeyKept, rig.KeyRevoked))
 	// What is there at first is written before the hosts start.
 	time.Sleep(withdrawLag + time.Second)
-	var hosts []*host
+	var hosts []*rig.Host
 	for _, name := range []string{"nord-a-1", "ost-a-1", "nord-b-1", "ost-b-1", "vest-a-1", "vest-b-1"} {
-		h, err := r.addHost("edge-"+name, name[:len(name)-2])
+		h, err := r.AddHost("edge-"+name, name[:len(name)-2])
 		if err != nil {
 			return false, err
 		}
 		hosts = append(hosts, h)
-		if err := h.start(true); err != nil {
+		if err := h.Start(true); err != nil {
 			return false, err
 		}
 	}
-	if err := awaitReady(20*time.Second, hosts...); err != nil {
+	if err := rig.AwaitReady(20*time.Second, hosts...); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * contact)
@@ -67,26 +69,26 @@
 	time.Sleep(time.Second)
 	if r.trouble {
 		for _, h := range readers {
-			r.record("SIGKILL to host %s (process %d)", h.name, h.process.Process.Pid)
-			h.signal(syscall.SIGKILL)
+			r.Record("SIGKILL to host %s (process %d)", h.Name, h.Pid())
+			h.Signal(syscall.SIGKILL)
 		}
 	}
 	withdrawn := []*withdrawal{
-		{what: "the dropped key", bound: configBound, acknowledged: r.store.put("config", "main", configuration(newVersion, keyKept)),
-			uses: func(q *keyedRequest, _ string) bool { return q.key == keyRevoked }},
-		{what: "the drained backend", bound: drainBound, acknowledged: drained.register("draining", 0),
-			uses: func(_ *keyedRequest, backend string) bool { return backend == drained.id }},
-		{what: "the evacuated zone", bound: evacuateBound, acknowledged: r.store.put("evacuations", "vest-b", map[string]any{}),
+		{what: "the dropped key", bound: configBound, acknowledged: r.Store.Put("config", "main", rig.Configuration(newVersion, rig.KeyKept)),
+			uses: func(q *keyedRequest, _ string) bool { return q.key == rig.KeyRevoked }},
+		{what: "the drained backend", bound: drainBound, acknowledged: drained.Register("draining", 0),
+			uses: func(_ *keyedRequest, backend string) bool { return backend == drained.ID }},
+		{what: "the evacuated zone", bound: evacuateBound, acknowledged: r.Store.Put("evacuations", "vest-b", map[string]any{}),
 			uses: func(_ *keyedRequest, backend string) bool { return zoneOf[backend] == "vest-b" }},
 	}
 	time.Sleep(withdrawLag + time.Second)
 	end()
-	runs, broken := set.runs(), false
+	runs, broken := set.Runs(), false
 	for _, w := range withdrawn {
 		late, last := 0, time.Duration(0)
 		for _, q := range *requests {
 			for _, e := range runs[q.id] {
-				if !w.uses(q, e.backend) {
+				if !w.uses(q, e.Upstream) {
 					continue
 				}
 				after := q.sent.Sub(w.acknowledged)
@@ -97,24 +99,24 @@
 			}
 		}
 		broken = broken || late > 0
-		r.record("%s: last used by a request sent %.3f s after the acknowledgement, %d later than %v", w.what, last.Seconds(), late, w.bound)
+		r.Record("%s: last used by a request sent %.3f s after the acknowledgement, %d later than %v", w.what, last.Seconds(), late, w.bound)
 	}
 	return broken, nil
 }
 
 // sendToAll sends requests to hosts with both keys until end is called. The list is
 // complete after that.
-func sendToAll(hosts []*host) (requests *[]*keyedRequest, end func()) {
+func sendToAll(hosts []*rig.Host) (requests *[]*keyedRequest, end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	requests = &[]*keyedRequest{}
 	for _, h := range hosts {
-		for _, key := range []string{keyRevoked, keyKept} {
+		for _, key := range []string{rig.KeyRevoked, rig.KeyKept} {
 			group.Add(1)
 			go func() {
 				defer group.Done()
-				sendSequence(ctx, h, key, readPath, func(q *keyedRequest) {
+				sendSequence(ctx, h, key, rig.ReadPath, func(q *keyedRequest) {
 					mu.Lock()
 					defer mu.Unlock()
 					*requests = append(*requests, q)
