--- a/edge/edge.go
+++ b/edge/edge.go
@@ -104,10 +104,10 @@
 	freshReader atomic.Bool
 	// unreachable is the number of kinds whose last call to the store failed.
 	unreachable atomic.Int32
-	// hasty is true while no fresh reader is heard of, and until hastyUntil; only the
+	// listAtOnce is true while no fresh reader is known, and until listAtOnceUntil; only the
 	// control loop uses them.
-	hasty      bool
-	hastyUntil machine.Instant
+	listAtOnce      bool
+	listAtOnceUntil machine.Instant
 
 	snapshot atomic.Pointer[policy.Snapshot]
 	// hosts are the registered entry hosts; nil until the first list arrives.
--- a/edge/freshread_test.go
+++ b/edge/freshread_test.go
@@ -17,8 +17,8 @@
 	h       *modelHost
 	machine *freshness.Machine
 	state   freshness.State
-	// hastyUntil is documented at Edge.
-	hastyUntil machine.Instant
+	// listAtOnceUntil is documented at Edge.
+	listAtOnceUntil machine.Instant
 	// listedAsReader is true once a list that the role requested has completed.
 	listedAsReader bool
 }
@@ -38,8 +38,8 @@
 				r.listedAsReader = false
 				r.h.list()
 			}
-			if out.Vouched && !r.state.Vouched {
-				r.hastyUntil = now.Add(hastyTime)
+			if out.ReaderKnown && !r.state.ReaderKnown {
+				r.listAtOnceUntil = now.Add(listAtOnceTime)
 			}
 			r.state = out
 			r.h.learn(out.Revisions)
@@ -59,7 +59,7 @@
 
 // listDelay is that of the kind with the longest delay.
 func (r *modelRole) listDelay() time.Duration {
-	return listDelay(kindUpstreams, !r.state.Vouched || r.h.fleet.now < r.hastyUntil)
+	return listDelay(kindUpstreams, !r.state.ReaderKnown || r.h.fleet.now < r.listAtOnceUntil)
 }
 
 func (h *modelHost) tick() {
--- a/edge/progress.go
+++ b/edge/progress.go
@@ -36,9 +36,9 @@
 	// return before the copy no longer counts as up to date: a round trip between regions
 	// takes about 110 ms.
 	overdueSlack = 300 * time.Millisecond
-	// hastyTime is how long hosts list without a delay after they have heard of a fresh
+	// listAtOnceTime is how long hosts list without a delay after the first heartbeat of a fresh
 	// reader again.
-	hastyTime = time.Second
+	listAtOnceTime = time.Second
 )
 
 // watchBegins notes that a watch begins.
@@ -60,16 +60,16 @@
 
 func (p *progress) setUpToDateUntil(t machine.Instant) { p.upToDateUntil.Store(int64(t)) }
 
-// vouchedKinds are the kinds of which a fresh reader must have the latest state. It
+// freshKinds are the kinds of which a fresh reader must have the latest state. It
 // watches the list of hosts with a long timeout.
-var vouchedKinds = [...]kind{kindConfiguration, kindUpstreams, kindEvacuations}
+var freshKinds = [...]kind{kindConfiguration, kindUpstreams, kindEvacuations}
 
 // checkCopies passes the state of the copies to the freshness machine and requests
 // lists of those that lag.
 func (e *Edge) checkCopies() {
 	now := e.now()
 	upToDate := true
-	for _, k := range vouchedKinds {
+	for _, k := range freshKinds {
 		upToDate = upToDate && now < machine.Instant(e.progress[k].upToDateUntil.Load())
 	}
 	e.loop.Forward(e.modules.freshness, freshness.SetCopy{
@@ -85,12 +85,12 @@
 		return
 	}
 	e.highestRevisions = freshness.MergeRevisions(e.highestRevisions, state.Revisions)
-	if e.hasty && state.Vouched {
-		e.hastyUntil = now.Instant.Add(hastyTime)
+	if e.listAtOnce && state.ReaderKnown {
+		e.listAtOnceUntil = now.Instant.Add(listAtOnceTime)
 	}
-	if e.hasty == state.Vouched {
-		e.hasty = !state.Vouched
-		e.log.Info().Bool("heard", state.Vouched).Msg("fresh readers changed")
+	if e.listAtOnce == state.ReaderKnown {
+		e.listAtOnce = !state.ReaderKnown
+		e.log.Info().Bool("reader_known", state.ReaderKnown).Msg("fresh readers changed")
 	}
 	if e.freshReader.Swap(state.Reads) == state.Reads {
 		return
@@ -105,9 +105,9 @@
 }
 
 // listDelay returns how long a peer may have a later change of a kind before a list is
-// requested. Without fresh readers, the change may be old when the host hears of it.
-func listDelay(k kind, hasty bool) time.Duration {
-	if hasty {
+// requested. Without fresh readers, the change may be old when the host learns of it.
+func listDelay(k kind, listAtOnce bool) time.Duration {
+	if listAtOnce {
 		return 0
 	}
 	return staleGrace + coalesceDelays[k]
@@ -122,7 +122,7 @@
 		case e.highestRevisions[i] <= p.complete.Load():
 			p.listAt = 0
 		case p.listAt == 0:
-			p.listAt = now.Add(listDelay(kind(i), e.hasty || now < e.hastyUntil))
+			p.listAt = now.Add(listDelay(kind(i), e.listAtOnce || now < e.listAtOnceUntil))
 		case now >= p.listAt:
 			p.listAt = now.Add(relistInterval)
 			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.highestRevisions[i]).Msg("a peer knows a later change")
--- a/freshness/doc.go
+++ b/freshness/doc.go
@@ -7,9 +7,10 @@
 // changes from being missed when fresh readers stop, die, are cut off, or when hosts
 // disagree about who they are:
 //
-//   - A fresh reader goes on until it hears that its successors are up to date.
-//   - A host that hears no reader that is up to date becomes a reader itself, after a
-//     delay that lets few of many hosts do so.
+//   - A fresh reader continues until its successors have reported that they are up to
+//     date.
+//   - A host that receives no heartbeat of a reader that is up to date becomes a reader
+//     itself, after a delay that lets few of many hosts do so.
 //
 // The number of readers, and so of calls to the store, does not grow with the fleet.
 package freshness
--- a/freshness/machine.go
+++ b/freshness/machine.go
@@ -22,7 +22,7 @@
 	// silentAfter is the time after which a reader counts as silent: two heartbeats in
 	// a row were lost.
 	silentAfter = 1100 * time.Millisecond
-	// maxTakeoverDelay bounds the delay before a host becomes a reader because it hears
+	// maxTakeoverDelay bounds the delay before a host becomes a reader because it receives
 	// none. A change must be in force 2.5 s after its acknowledgement, and detecting the
 	// loss of the readers takes up to 1.9 s.
 	maxTakeoverDelay = 300 * time.Millisecond
@@ -56,15 +56,15 @@
 	peers     []gossip.Peer
 	// stored is the state of this host's copy of the store.
 	stored SetCopy
-	// heard is when each other reader last said that it is up to date.
-	heard map[fleet.HostID]machine.Instant
+	// lastHeartbeat is when each other reader last reported that it is up to date.
+	lastHeartbeat map[fleet.HostID]machine.Instant
 
 	reads bool
 	// lastUpToDate is when the copy of this reader was last up to date.
 	lastUpToDate machine.Instant
-	said         Phase
+	lastPhase    Phase
 	nextBeat     machine.Instant
-	// takeoverAt is when this host becomes a reader because it hears none, stepDownAt
+	// takeoverAt is when this host becomes a reader because there is none, stepDownAt
 	// when this reader ends because its successors are up to date; 0 if it doesn't.
 	takeoverAt, stepDownAt machine.Instant
 	// begun counts the readers that began since takeoverAt was set.
@@ -79,7 +79,7 @@
 
 // New returns the machine of a host.
 func New(c Config) *Machine {
-	return &Machine{self: c.Self, joins: c.Joins, heard: map[fleet.HostID]machine.Instant{}}
+	return &Machine{self: c.Self, joins: c.Joins, lastHeartbeat: map[fleet.HostID]machine.Instant{}}
 }
 
 // Step applies one input.
@@ -101,9 +101,9 @@
 		m.stored = in
 	}
 	m.decide(at)
-	m.speak(at)
-	next := State{Reads: m.reads, Vouched: m.vouched(at), Revisions: revisions}
-	if next.Reads != m.state.Reads || next.Vouched != m.state.Vouched || !slices.Equal(next.Revisions, m.state.Revisions) {
+	m.sendHeartbeats(at)
+	next := State{Reads: m.reads, ReaderKnown: m.readerKnown(at), Revisions: revisions}
+	if next.Reads != m.state.Reads || next.ReaderKnown != m.state.ReaderKnown || !slices.Equal(next.Revisions, m.state.Revisions) {
 		m.state = next
 		m.out = append(m.out, next)
 	}
@@ -114,14 +114,14 @@
 func (m *Machine) receive(now machine.Instant, from fleet.Member, h Heartbeat) []uint64 {
 	switch h.Phase {
 	case UpToDate:
-		m.heard[from.Host] = now
+		m.lastHeartbeat[from.Host] = now
 	case Began:
 		m.begun++
 		if m.takeoverAt != 0 && m.begun >= Readers {
 			m.takeoverAt, m.begun = max(m.takeoverAt, now.Add(beginTime+m.takeoverDelay())), 0
 		}
 	default:
-		delete(m.heard, from.Host)
+		delete(m.lastHeartbeat, from.Host)
 	}
 	return MergeRevisions(m.state.Revisions, h.Revisions)
 }
@@ -140,9 +140,9 @@
 
 // decide begins or ends this host's role.
 func (m *Machine) decide(now machine.Instant) {
-	for host, at := range m.heard {
+	for host, at := range m.lastHeartbeat {
 		if now.Sub(at) >= silentAfter {
-			delete(m.heard, host)
+			delete(m.lastHeartbeat, host)
 		}
 	}
 	chosen := m.chosen()
@@ -160,7 +160,7 @@
 	case age < startDelay:
 	case isChosen:
 		m.begin(now)
-	case len(m.heard) > 0 || !m.stored.Reachable || age < startDelay+silentAfter:
+	case len(m.lastHeartbeat) > 0 || !m.stored.Reachable || age < startDelay+silentAfter:
 		m.takeoverAt = 0
 	case m.takeoverAt == 0:
 		m.takeoverAt, m.begun = now.Add(m.takeoverDelay()), 0
@@ -174,7 +174,7 @@
 	m.takeoverAt, m.stepDownAt = 0, 0
 	// What the copy was before does not count: it is read anew.
 	m.stored.UpToDate = false
-	m.say(now, Began)
+	m.broadcast(now, Began)
 }
 
 // decideEnd ends the role of a reader that has successors.
@@ -204,10 +204,10 @@
 func (m *Machine) succeeded(chosen []fleet.HostID) bool {
 	all, preceding := len(chosen) > 0, 0
 	for _, id := range chosen {
-		all = all && m.heard[id] != 0
+		all = all && m.lastHeartbeat[id] != 0
 	}
 	for _, p := range m.peers {
-		if p.ID < m.self.Host && !p.Leaving && m.heard[p.ID] != 0 {
+		if p.ID < m.self.Host && !p.Leaving && m.lastHeartbeat[p.ID] != 0 {
 			preceding++
 		}
 	}
@@ -233,8 +233,8 @@
 }
 
 // takeoverDelay returns a delay that is long for most hosts: of many hosts that start
-// their timers together, few end them before they hear of the first one, whatever the
-// size of the fleet (Nonnenmacher, Biersack, 1998).
+// their timers together, few end them before they receive the heartbeat of the first
+// one, whatever the size of the fleet (Nonnenmacher, Biersack, 1998).
 func (m *Machine) takeoverDelay() time.Duration {
 	m.takeovers++
 	seed := binary.LittleEndian.AppendUint32([]byte(m.self.Host), m.takeovers)
@@ -243,28 +243,28 @@
 	return time.Duration(float64(maxTakeoverDelay) * max(0, 1+math.Log(uniform)/n))
 }
 
-// vouched reports whether a reader that is up to date is known.
-func (m *Machine) vouched(now machine.Instant) bool {
-	return len(m.heard) > 0 || m.reads && m.stored.UpToDate
+// readerKnown reports whether a reader that is up to date is known.
+func (m *Machine) readerKnown(now machine.Instant) bool {
+	return len(m.lastHeartbeat) > 0 || m.reads && m.stored.UpToDate
 }
 
-// speak sends the heartbeats of a reader.
-func (m *Machine) speak(now machine.Instant) {
-	phase := m.said
+// sendHeartbeats sends the heartbeats of a reader.
+func (m *Machine) sendHeartbeats(now machine.Instant) {
+	phase := m.lastPhase
 	switch {
 	case m.reads && m.stored.UpToDate:
 		phase = UpToDate
-	case !m.reads || m.said == UpToDate:
+	case !m.reads || m.lastPhase == UpToDate:
 		phase = Ended
 	}
-	if phase != m.said || phase == UpToDate && now >= m.nextBeat {
-		m.say(now, phase)
+	if phase != m.lastPhase || phase == UpToDate && now >= m.nextBeat {
+		m.broadcast(now, phase)
 	}
 }
 
-// say sends a heartbeat to all hosts that may be alive.
-func (m *Machine) say(now machine.Instant, phase Phase) {
-	m.said, m.nextBeat = phase, now.Add(heartbeatInterval)
+// broadcast sends a heartbeat to all hosts that may be alive.
+func (m *Machine) broadcast(now machine.Instant, phase Phase) {
+	m.lastPhase, m.nextBeat = phase, now.Add(heartbeatInterval)
 	for _, p := range m.peers {
 		if p.ID != m.self.Host && p.Alive {
 			m.out = append(m.out, machine.Send{To: p.ID, Message: Heartbeat{Phase: phase, Revisions: m.stored.Revisions}})
--- a/freshness/machine_test.go
+++ b/freshness/machine_test.go
@@ -99,9 +99,9 @@
 
 	other := newTestHost("h-3", peers)
 	other.run(3*time.Second, "h-1")
-	require.True(t, other.state.Vouched)
+	require.True(t, other.state.ReaderKnown)
 	other.step(machine.Received{From: fleet.Member{Host: "h-1"}, Message: Heartbeat{Phase: Ended}})
-	require.False(t, other.state.Vouched)
+	require.False(t, other.state.ReaderKnown)
 	other.run(maxTakeoverDelay + 100*time.Millisecond)
 	require.True(t, other.state.Reads)
 }
--- a/freshness/messages.go
+++ b/freshness/messages.go
@@ -64,8 +64,8 @@
 type State struct {
 	// Reads is true if this host is a fresh reader.
 	Reads bool
-	// Vouched is true if a reader that is up to date was heard of lately.
-	Vouched bool
+	// ReaderKnown is true if a reader has recently reported that it is up to date.
+	ReaderKnown bool
 	// Revisions are the highest that any reader has reported.
 	Revisions []uint64
 }
