--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,9 @@
 	// reservedDescriptors are kept for connections to upstreams, the store and peers,
 	// and for files; the others are available to callers' connections.
 	reservedDescriptors = 1200
+	// backgroundExitPart is the part of the grace period, as its reciprocal, that a stop
+	// waits for background work to end after the last response.
+	backgroundExitPart = 50
 	// responseMemoryBytes is the memory that bodies of upstreams' responses may hold. The
 	// heap can grow by several times that until garbage is collected.
 	responseMemoryBytes = 8 << 20
@@ -254,7 +257,17 @@
 	for _, s := range servers {
 		_ = s.Close()
 	}
-	group.Wait()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		group.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(e.Settings.Bounds.StopGrace / backgroundExitPart):
+		// The requests are answered; the process must end within the grace period.
+		e.log.Warn().Msg("background work has not ended with the planned stop")
+	}
 	e.log.Info().Msg("entry host stopped")
 }
 
