--- a/limits/divide.go
+++ b/limits/divide.go
@@ -42,13 +42,13 @@
 	return holders / max(1, regions)
 }
 
-// DivideSmall divides the limits of customers whose bursts are too small for all
-// hosts: in each region with more hosts than quotaHolders, the first hosts by
-// rendezvous hashing of the customer are quota holders, which hold the region's share, and the others borrow tokens from them when a request arrives.
-// Otherwise one host would have to collect the shares of all others as loans and
-// renew them every second: 57 requests per second per host in a fleet of 87 with 86
-// customers. The price is that losing a quota holder takes away a larger share of
-// these customers' limits.
+// DivideSmall divides the limits of customers whose bursts are too small for all hosts:
+// in each region with more hosts than quotaHolders, the first hosts by rendezvous
+// hashing of the customer are quota holders, which hold the region's share, and the
+// others borrow tokens from them when a request arrives. Otherwise one host would have
+// to collect the shares of all others as loans and renew them every second: 57 requests
+// per second per host in a fleet of 87 with 86 customers. The price is that losing a
+// quota holder takes away a larger share of these customers' limits.
 func DivideSmall(view *fleet.View, customer fleet.Customer, burst float64) Division {
 	regions := make(map[fleet.Region][]*fleet.ViewMember)
 	for i := range view.Members {
