--- a/edge/edge.go
+++ b/edge/edge.go
@@ -116,7 +116,7 @@
 	// hosts are the registered entry hosts; nil until the first list arrives.
 	hosts atomic.Pointer[[]catalog.Host]
 	// settled is the division of the limits that may be recorded, and registrationDue
-	// wakes register after a change.
+	// signals register that the entry has changed.
 	settled         atomic.Uint64
 	registrationDue chan struct{}
 	// peers are the entry hosts with their state according to gossip.
--- a/freshness/machine_test.go
+++ b/freshness/machine_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// run ticks, and hears of the given readers every 0.5 s.
+// run advances the clock and delivers a heartbeat of the given readers every 0.5 s.
 func (h *testHost) run(d time.Duration, readers ...string) {
 	for until := h.now.Add(d); h.now < until; h.now = h.now.Add(50 * time.Millisecond) {
 		if h.now.Sub(0)%(500*time.Millisecond) == 0 {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -22,7 +22,7 @@
 
 const openRequest = "GET /open HTTP/1.1\r\nHost: g\r\n\r\n"
 
-// lateListener accepts nothing before it is told to stop, as a busy process does.
+// lateListener accepts no connection until its deadline is set, as a busy process does.
 type lateListener struct {
 	*net.TCPListener
 	once    sync.Once
--- a/gossip/join_test.go
+++ b/gossip/join_test.go
@@ -107,7 +107,7 @@
 }
 
 // Guards against a fleet that starts for the first time and whose hosts name few others
-// as long as they have not heard of them.
+// until they have received a message from them.
 func TestStartingFleetNamesAllHostsWhileGossipForms(t *testing.T) {
 	t.Parallel()
 	r := newTestFleet(12, 1)
