Soak: withdraw what hosts use while hosts and the store are disturbed

RunChanges draws the order of dropped keys, moved routes, leaving upstreams (announced, silent, stated in answers) and evacuations, beside stops, kills, freezes, cuts, additions and removals of hosts, also of those that probably read the latest state, and a slow or absent store, with stale reads 0 to 8 s old.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -21,6 +21,8 @@
 	Runs     int           `default:"1" help:"Number of runs, one after the other."`
 	Duration time.Duration `default:"60s" help:"Time of a run in which hosts are stopped and changed."`
 	Logs     string        `type:"path" help:"Directory for a record of each run."`
+	Changes  bool          `help:"Withdraw keys, routes, upstreams and failure domains, and disturb the store too, in place of planned stops under traffic."`
+	MaxHosts int           `default:"9" help:"Hosts with which a run of changes begins, at most."`
 }
 
 // Run plays the seeds. All processes that it starts have ended when it returns.
@@ -29,17 +31,18 @@
 	defer cancel()
 	broken, total := &soak.BrokenError{}, &soak.Report{}
 	for seed := c.Seed; seed < c.Seed+uint64(c.Runs); seed++ {
-		report, err := c.play(ctx, seed)
+		isBroken, err := c.play(ctx, seed, total)
 		if err != nil {
 			return err
 		}
-		total.Add(report)
-		if report.Broken() {
+		if isBroken {
 			broken.Seeds = append(broken.Seeds, seed)
 		}
 	}
-	if err := total.WriteTotal(os.Stdout); err != nil {
-		return eris.Wrap(err, "report")
+	if !c.Changes {
+		if err := total.WriteTotal(os.Stdout); err != nil {
+			return eris.Wrap(err, "report")
+		}
 	}
 	if len(broken.Seeds) > 0 {
 		return broken
@@ -47,19 +50,29 @@
 	return nil
 }
 
-func (c *soakCommand) play(ctx context.Context, seed uint64) (*soak.Report, error) {
+// play plays one seed and reports whether it broke a promise.
+func (c *soakCommand) play(ctx context.Context, seed uint64, total *soak.Report) (bool, error) {
 	output := io.Discard
 	if c.Logs != "" {
 		file, err := os.Create(filepath.Join(c.Logs, fmt.Sprintf("seed-%d.txt", seed)))
 		if err != nil {
-			return nil, eris.Wrap(err, "record of the run")
+			return false, eris.Wrap(err, "record of the run")
 		}
 		defer func() { _ = file.Close() }()
 		output = file
 	}
-	report, err := soak.Run(ctx, soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, Output: output})
+	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Output: output}
+	if c.Changes {
+		report, err := soak.RunChanges(ctx, options)
+		if err != nil {
+			return false, eris.Wrapf(err, "run with seed %d", seed)
+		}
+		return report.Broken(), eris.Wrap(report.Write(os.Stdout), "report")
+	}
+	report, err := soak.Run(ctx, options)
 	if err != nil {
-		return nil, eris.Wrapf(err, "run with seed %d", seed)
+		return false, eris.Wrapf(err, "run with seed %d", seed)
 	}
-	return report, eris.Wrap(report.Write(os.Stdout), "report")
+	total.Add(report)
+	return report.Broken(), eris.Wrap(report.Write(os.Stdout), "report")
 }
