Gossip: an added host is named once there is a sign of life of it

It now counts as alive from its first sign of life on, for which it is asked when the list is read. The first list of a process and the lists of a fleet that starts for the first time are treated as before.

--- a/gossip/join_test.go
+++ b/gossip/join_test.go
@@ -192,3 +192,54 @@
 		}
 	}
 }
+
+// Guards against the directory naming a host that registered and ended before this host
+// read the list with its entry, which may be many seconds later.
+func TestAddedHostThatHasEndedIsNeverNamed(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{4, 12, 100} {
+		r := newTestFleet(n, 0.03)
+		r.run(10 * time.Second)
+		ended := catalog.Host{ID: "h-ended", Location: fleet.Location{Region: "a"}}
+		all := append(r.hosts[:len(r.hosts):len(r.hosts)], ended)
+		for _, h := range r.hosts {
+			r.step(h.ID, SetHosts{Hosts: all})
+		}
+		for range 70 {
+			for _, h := range r.hosts {
+				require.False(t, r.named(h.ID)[ended.ID], "%s of %d", h.ID, n)
+			}
+			r.run(100 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a live host that is added and left out of lookup responses for long.
+func TestAddedLiveHostIsNamedSoon(t *testing.T) {
+	t.Parallel()
+	for n, within := range map[int]time.Duration{4: time.Second, 12: time.Second, 100: contactTime, 300: contactTime} {
+		r := newTestFleet(n, 0.03)
+		r.joins = true
+		r.run(10 * time.Second)
+		added := catalog.Host{ID: "h-added", Location: fleet.Location{Region: "a"}}
+		before := r.hosts
+		r.hosts = append(r.hosts[:n:n], added)
+		r.start(added)
+		listed := map[fleet.HostID]machine.Instant{}
+		for _, h := range before {
+			listed[h.ID] = r.now.Add(time.Duration(r.random.Int64N(int64(4 * time.Second))))
+		}
+		for end := r.now.Add(8 * time.Second); r.now < end; r.run(50 * time.Millisecond) {
+			for _, h := range before {
+				if at, waits := listed[h.ID]; waits && r.now >= at {
+					r.step(h.ID, SetHosts{Hosts: r.hosts})
+					delete(listed, h.ID)
+					listed["named by "+h.ID] = r.now.Add(within)
+				}
+				if at, due := listed["named by "+h.ID]; due && r.now >= at {
+					require.True(t, r.named(h.ID)[added.ID], "%s of %d does not name it %v after it was listed", h.ID, n, within)
+				}
+			}
+		}
+	}
+}
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -42,6 +42,10 @@
 	probeAfter     = 3400 * time.Millisecond
 	maxProbes      = 2
 	maxFirstProbes = 8
+	// relayTime is the time in which the digests of a host that is added to a large fleet
+	// reach most hosts. The others probe it then, until probeAddedFor after it was added.
+	relayTime     = roundInterval
+	probeAddedFor = 10 * time.Second
 	// maxNotified is the number of hosts of this region, and of the others, that are
 	// notified at once of a planned stop or of a change that their watches may have
 	// missed. Fewer are notified at a host's start, as a whole fleet may start together.
@@ -61,9 +65,12 @@
 	leaving     bool
 	rate        uint32
 	alive       bool
-	// unconfirmed is true for a host of the first list until there is a sign of life of
-	// it. It may have left long before this process started.
+	// unconfirmed is true until there is a sign of life of the host. A host of the first
+	// list may have left long before this process started.
 	unconfirmed bool
+	// addedAt is when the host was added to the list; 0 for those of the first one. It may
+	// have ended before, so it counts as dead while it is unconfirmed.
+	addedAt machine.Instant
 }
 
 // Machine is the gossip state machine.
@@ -177,8 +184,7 @@
 		id := hashOf(h.ID)
 		state := m.hosts[id]
 		if state == nil {
-			// A host that is added to the list has just registered.
-			state = &hostState{lastSeen: now, alive: true, unconfirmed: first && m.joins}
+			state = m.newHostState(now, first)
 		}
 		state.Host = h
 		next[id] = state
@@ -201,16 +207,38 @@
 	m.hosts = next
 	if wasEmpty {
 		m.notifyHosts(maxNotifiedAtStart)
+	} else {
+		m.askAdded(now)
 	}
 	m.publish(true)
 }
 
+// askAdded requests the digests of hosts that were just added, up to maxFirstProbes.
+func (m *Machine) askAdded(now machine.Instant) {
+	asked := 0
+	for _, id := range m.sortedHosts {
+		if asked < maxFirstProbes && id != m.ownEntry.Host && m.isJustAdded(m.hosts[id], now) {
+			m.ask(id)
+			asked++
+		}
+	}
+}
+
+// newHostState returns the state of a host that is new in the list. A fleet that starts
+// for the first time is listed bit by bit, and its hosts count as alive.
+func (m *Machine) newHostState(now machine.Instant, first bool) *hostState {
+	if first || !m.joins && now.Sub(m.listedAt) < deadAfter {
+		return &hostState{lastSeen: now, alive: true, unconfirmed: m.joins}
+	}
+	return &hostState{addedAt: now, unconfirmed: true}
+}
+
 // tick detects dead hosts and sends the digests and probes of a round.
 func (m *Machine) tick(now machine.Instant) {
 	changed := false
 	confirmUntil := m.confirmUntil()
 	for id, state := range m.hosts {
-		alive := id == m.ownEntry.Host || now.Sub(state.lastSeen) < deadAfter && (!state.unconfirmed || now < confirmUntil)
+		alive := id == m.ownEntry.Host || now.Sub(state.lastSeen) < deadAfter && (!state.unconfirmed || state.addedAt == 0 && now < confirmUntil)
 		if alive != state.alive {
 			state.alive = alive
 			changed = true
@@ -250,7 +278,7 @@
 	var stale, unconfirmed []uint32
 	for id, state := range m.hosts {
 		switch {
-		case id == m.ownEntry.Host || !state.alive:
+		case id == m.ownEntry.Host || !state.alive && !m.isJustAdded(state, now):
 		case state.unconfirmed:
 			unconfirmed = append(unconfirmed, id)
 		case now.Sub(state.lastSeen) >= probeAfter:
@@ -269,6 +297,16 @@
 	}
 }
 
+// isJustAdded reports whether a host was added to the list a short time ago and there is
+// no sign of life of it yet.
+func (m *Machine) isJustAdded(state *hostState, now machine.Instant) bool {
+	if !state.unconfirmed || state.addedAt == 0 {
+		return false
+	}
+	age := now.Sub(state.addedAt)
+	return age < probeAddedFor && (age >= relayTime || len(m.hosts) < replyFleetSize)
+}
+
 // ask requests the digest of a host.
 func (m *Machine) ask(id uint32) {
 	m.out = append(m.out, machine.Send{To: m.hosts[id].ID, Message: Digest{Entries: Entries{m.ownEntry}, Ask: true, Revisions: m.revisions}})
