A planned stop ends in time whoever reads the log and however long the start takes

Two ways in which a process outlives its grace period and is killed: the exit waited for the reader of standard output, without bound, and the grace period began when the start was complete instead of with the SIGTERM.

The log sink gives up after 200 ms; the stop is timed from the signal.

--- a/cmd/catkinspring/edge.go
+++ b/cmd/catkinspring/edge.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"reflect"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -36,8 +36,7 @@
 		return checkEdgeSettings(console, file)
 	}
 	// A signal that arrives during the start would otherwise end the process.
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	stop := notifyStop()
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	// A log line that nobody reads any more would otherwise end the process.
@@ -71,6 +70,18 @@
 	return nil
 }
 
+// notifyStop returns a channel that receives the time of the first signal that requests a
+// planned stop. Later signals are ignored.
+func notifyStop() <-chan time.Time {
+	signals, stop := make(chan os.Signal, 1), make(chan time.Time, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		stop <- time.Now()
+	}()
+	return stop
+}
+
 func checkEdgeSettings(console *console, file string) error {
 	if _, err := platform.LoadSettings(file); err != nil {
 		return err
--- a/cmd/catkinspring/signals_test.go
+++ b/cmd/catkinspring/signals_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // commandVariable makes the test binary run the command line that it contains.
@@ -28,6 +29,9 @@
 	os.Exit(m.Run())
 }
 
+// grace is the grace period of the processes.
+const grace = 2 * time.Second
+
 // freeAddresses returns addresses on loopback that no process listens on.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
@@ -66,7 +70,7 @@
 Zone = "z"
 Region = "r"
 InternalPorts = [%d,%d]
-Bounds = ["Grace=2s"]
+Bounds = ["Grace=%s"]
 [Zones]
 z = "r"
 [Listen]
@@ -78,7 +82,7 @@
 MaxFds = 4096
 [Platform]
 Address = "%s"
-`, a[4].Port(), a[5].Port(), a[0], a[1], a[2], a[3]),
+`, a[4].Port(), a[5].Port(), grace, a[0], a[1], a[2], a[3]),
 	}
 	executable, err := os.Executable()
 	require.NoError(t, err)
@@ -200,3 +204,53 @@
 	require.Equal(t, http.StatusServiceUnavailable, finish().StatusCode)
 	require.NoError(t, p.Wait())
 }
+
+// Guards against a planned stop that waits for the reader of the log until the platform
+// kills the process.
+func TestStalledLogReaderDoesNotDelayTheStop(t *testing.T) {
+	t.Parallel()
+	p := newEdgeProcess(t)
+	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
+	p.start(t)
+	p.awaitLine(t, "entry host started")
+	_, err := unix.FcntlInt(p.output.Fd(), unix.F_SETPIPE_SZ, 4096)
+	require.NoError(t, err)
+	// Each SIGHUP causes a line; together they fill the pipe.
+	for range 200 {
+		p.signal(t, syscall.SIGHUP)
+		time.Sleep(2 * time.Millisecond)
+	}
+	p.signal(t, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(grace):
+		require.NoError(t, p.Process.Kill())
+		<-ended
+		t.Fatal("the process still runs at the end of the grace period")
+	}
+}
+
+// Guards against a grace period that begins when the start is complete instead of with the
+// signal.
+func TestGracePeriodBeginsWithTheSignal(t *testing.T) {
+	t.Parallel()
+	p := newEdgeProcess(t)
+	require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+	p.start(t)
+	file, err := os.OpenFile(p.settings, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	p.signal(t, syscall.SIGTERM)
+	signalled := time.Now()
+	time.Sleep(grace / 4)
+	_, err = io.WriteString(file, p.content)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+	p.awaitLine(t, "entry host started")
+	p.halfSentRequest(t)
+	p.awaitLine(t, "entry host stopped")
+	require.NoError(t, p.Wait())
+	require.Less(t, time.Since(signalled), grace)
+}
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -66,18 +66,18 @@
 
 func (e *Edge) isStopping() bool { return e.stop.Load() != nil }
 
-// drain performs a planned stop: it removes the host from lookup responses, reports
-// it as not ready, closes connections after their responses, stops accepting, and
-// waits for open requests. It gives up those that remain near the end of the grace
-// period.
-func (e *Edge) drain() {
-	stop := &plannedStop{began: time.Now(), grace: e.Settings.Bounds.StopGrace}
+// drain performs a planned stop that was requested at the given time: it removes the
+// host from lookup responses, reports it as not ready, closes connections after their
+// responses, stops accepting, and waits for open requests. It gives up those that remain
+// near the end of the grace period.
+func (e *Edge) drain(requested time.Time) {
+	stop := &plannedStop{began: requested, grace: e.Settings.Bounds.StopGrace}
 	e.stop.Store(stop)
 	open := len(e.server.OpenRequests())
 	e.log.Info().Int("connections", e.server.Connections()).Int("requests", open).Msg("planned stop begins")
 	e.loop.Post(e.modules.gossip, gossip.SetSelf{Leaving: true})
 	e.server.Drain()
-	time.Sleep(min(acceptAfterStop, stop.grace/2))
+	time.Sleep(time.Until(stop.began.Add(min(acceptAfterStop, stop.grace/2))))
 	if err := e.server.StopAccepting(e.listeners.callers.(*net.TCPListener)); err != nil {
 		e.log.Warn().Err(err).Msg("closing the callers' listener")
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -226,8 +226,9 @@
 	return ingress.Limits(s.Limits)
 }
 
-// Run serves until stop is cancelled, then performs a planned stop and returns.
-func (e *Edge) Run(stop context.Context) {
+// Run serves until stop delivers the time at which a planned stop was requested, then
+// performs the stop and returns.
+func (e *Edge) Run(stop <-chan time.Time) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	e.follow(ctx, &group)
@@ -250,8 +251,7 @@
 		})
 	}
 	e.log.Info().Str("callers", e.Settings.Listen.Callers.String()).Str("region", string(e.Settings.Location.Region)).Msg("entry host started")
-	<-stop.Done()
-	e.drain()
+	e.drain(<-stop)
 	cancel()
 	_ = e.datagrams.Close()
 	for _, s := range servers {
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -24,6 +24,8 @@
 	// maxBufferedBytes bounds the lines in memory. It holds a few seconds of the
 	// budgets below.
 	maxBufferedBytes = 512 << 10
+	// closeTimeout is how long Close waits for the reader of the output.
+	closeTimeout = 200 * time.Millisecond
 	// MaxSuccessLinesPerSecond, MaxFailureLinesPerSecond and MaxUnansweredLinesPerSecond
 	// are the budgets of the classes: together at most 340 lines or about 170 KB per
 	// second. A host serves about 100 requests per second.
@@ -159,8 +161,14 @@
 	return text[:end+1], text[end+1:]
 }
 
-// Close writes the buffered lines and stops the sink. It must be called only once.
+// Close writes the buffered lines and stops the sink, at most until closeTimeout has
+// passed. It must be called only once.
 func (s *Sink) Close() {
 	close(s.stop)
-	<-s.stopped
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-s.stopped:
+	case <-timer.C:
+	}
 }
