Serve: its log never blocks it, and early signals don't end it

It now logs through the same sink, reports dropped lines, and installs its handlers first. TestServeDoesNotWaitForTheReaderOfItsLog and TestSignalsDuringTheStartOfServe failed before.

--- a/cmd/catkinspring/serve.go
+++ b/cmd/catkinspring/serve.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/catkinspring/catkinspring/host"
+	"github.com/catkinspring/catkinspring/logsink"
 	"github.com/catkinspring/catkinspring/settings"
 )
 
@@ -25,6 +28,10 @@
 // Run serves until a signal. The first SIGTERM or SIGINT starts a graceful shutdown,
 // the second one stops the process immediately.
 func (c serveCommand) Run() error {
+	drain, startDrain := context.WithCancel(context.Background())
+	stop, stopNow := context.WithCancel(context.Background())
+	// A signal that arrives during the start would otherwise end the process.
+	handleSignals(startDrain, stopNow)
 	s, err := settings.Load(c.File)
 	if err != nil {
 		return err
@@ -35,10 +42,8 @@
 	}
 	// Operators can change the global log level at run time.
 	zerolog.SetGlobalLevel(level)
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	drain, startDrain := context.WithCancel(context.Background())
-	stop, stopNow := context.WithCancel(context.Background())
-	go handleSignals(startDrain, stopNow)
+	log, closeLog := openLog(os.Stderr)
+	defer closeLog()
 	for {
 		h, err := host.New(host.Options{Settings: s, Version: version, Logger: log})
 		if err != nil {
@@ -57,11 +62,45 @@
 	}
 }
 
+// handleSignals starts a graceful shutdown with the first signal and ends it with the
+// second one. SIGHUP has no effect, and a write to a closed output doesn't end the process.
 func handleSignals(startDrain, stopNow context.CancelFunc) {
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	<-signals
-	startDrain()
-	<-signals
-	stopNow()
+	go func() {
+		<-signals
+		startDrain()
+		<-signals
+		stopNow()
+	}()
+}
+
+// omittedInterval is the time between two lines about omitted lines.
+const omittedInterval = time.Second
+
+// openLog returns a logger that never waits for the reader of its output. closeLog writes
+// the lines that are left.
+func openLog(out io.Writer) (log zerolog.Logger, closeLog func()) {
+	sink := logsink.New(out)
+	log = zerolog.New(sink).With().Timestamp().Logger()
+	ended := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(omittedInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ended:
+				return
+			case <-ticker.C:
+			}
+			if omitted := sink.TakeOmitted(); omitted.Dropped > 0 {
+				log.Warn().Int("dropped", omitted.Dropped).Msg("lines left out")
+			}
+		}
+	}()
+	return log, func() {
+		close(ended)
+		sink.Close()
+	}
 }
