Gossip: what arrives after a pause is as old as the pause

Hosts in touch named a host again that had ended more than 7 s before (DRAIN). A third host had been frozen meanwhile; when it ran again it read the digests that waited at its socket, counted their ages from then, and told the others.

The machine notices that it was not stepped for 0.5 s, re-evaluates at once who is dead, and adds the pause to the ages in digests of the next 0.5 s.

TestPausedHostDoesNotReviveAHostThatEnded failed before (named 7 s after the end, pause of 3 s).

--- a/gossip/join_test.go
+++ b/gossip/join_test.go
@@ -243,3 +243,35 @@
 		}
 	}
 }
+
+// Guards against a host that was paused, takes what arrived meanwhile for recent, and lets
+// the others name a host again that ended long ago.
+func TestPausedHostDoesNotReviveAHostThatEnded(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second} {
+		r := newTestFleet(12, 0)
+		r.run(10 * time.Second)
+		ended, paused := r.hosts[1].ID, r.hosts[2].ID
+		// What the paused host receives once it runs again.
+		var waiting []machine.Received
+		for i, h := range r.hosts {
+			if h.ID != ended && h.ID != paused {
+				waiting = append(waiting, machine.Received{From: r.machines[h.ID].self, Message: r.machines[r.hosts[i].ID].digest(r.now)})
+			}
+		}
+		r.down[ended], r.down[paused] = true, true
+		endedAt := r.now
+		r.run(pause)
+		r.down[paused] = false
+		for _, in := range waiting {
+			r.step(paused, in)
+		}
+		r.run(endedAt.Add(contactTime + 3*time.Second).Sub(r.now))
+		for range 30 {
+			for _, h := range r.hosts {
+				require.True(t, r.down[h.ID] || !r.named(h.ID)[ended], "%s names it %v after its end, pause %v", h.ID, r.now.Sub(endedAt), pause)
+			}
+			r.run(100 * time.Millisecond)
+		}
+	}
+}
--- a/gossip/machine.go
+++ b/gossip/machine.go
@@ -46,6 +46,11 @@
 	// reach most hosts. The others probe it then, until probeAddedFor after it was added.
 	relayTime     = roundInterval
 	probeAddedFor = 10 * time.Second
+	// minPause is the time without a step, which are 50 ms apart, from which on this process
+	// was paused. Messages that it receives within backlogTime after a pause may have waited
+	// as long.
+	minPause    = 500 * time.Millisecond
+	backlogTime = 500 * time.Millisecond
 	// maxNotified is the number of hosts of this region, and of the others, that are
 	// notified at once of a planned stop or of a change that their watches may have
 	// missed. Fewer are notified at a host's start, as a whole fleet may start together.
@@ -94,7 +99,11 @@
 	remoteRegions [][]uint32
 	round         int
 	nextRound     machine.Instant
-	out           []machine.Output
+	lastStep      machine.Instant
+	// paused is how long this process did not run before resumedAt.
+	paused    time.Duration
+	resumedAt machine.Instant
+	out       []machine.Output
 }
 
 var _ machine.Machine = (*Machine)(nil)
@@ -136,6 +145,7 @@
 func (m *Machine) Step(now machine.Now, in machine.Input) []machine.Output {
 	m.out = nil
 	at := now.Instant
+	m.notePause(at)
 	switch in := in.(type) {
 	case machine.Tick:
 		m.tick(at)
@@ -171,6 +181,25 @@
 	return m.out
 }
 
+// notePause detects that this process did not run for a while, and the hosts that are
+// dead since.
+func (m *Machine) notePause(now machine.Instant) {
+	if gap := now.Sub(m.lastStep); m.lastStep != 0 && gap >= minPause {
+		m.paused, m.resumedAt = gap, now
+		m.expire(now)
+	}
+	m.lastStep = now
+}
+
+// maxWait returns how long a message that is received now may have waited for this
+// process.
+func (m *Machine) maxWait(now machine.Instant) time.Duration {
+	if m.paused > 0 && now.Sub(m.resumedAt) < backlogTime {
+		return m.paused
+	}
+	return 0
+}
+
 func (m *Machine) setHosts(now machine.Instant, hosts []catalog.Host) {
 	next := make(map[uint32]*hostState, len(hosts))
 	first := m.listedAt == 0
@@ -233,8 +262,8 @@
 	return &hostState{addedAt: now, unconfirmed: true}
 }
 
-// tick detects dead hosts and sends the digests and probes of a round.
-func (m *Machine) tick(now machine.Instant) {
+// expire detects dead hosts.
+func (m *Machine) expire(now machine.Instant) {
 	changed := false
 	confirmUntil := m.confirmUntil()
 	for id, state := range m.hosts {
@@ -247,6 +276,11 @@
 	if changed {
 		m.publish(true)
 	}
+}
+
+// tick detects dead hosts and sends the digests and probes of a round.
+func (m *Machine) tick(now machine.Instant) {
+	m.expire(now)
 	if now < m.nextRound {
 		return
 	}
@@ -399,12 +433,13 @@
 // receive merges a digest into the state and replies if requested.
 func (m *Machine) receive(now machine.Instant, from fleet.Member, d Digest) {
 	newer, changed := m.mergeRevisions(d.Revisions), false
+	waited := m.maxWait(now)
 	for _, e := range d.Entries {
 		state := m.hosts[e.Host]
 		if state == nil || e.Host == m.ownEntry.Host {
 			continue
 		}
-		seen := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+		seen := now.Add(-waited - time.Duration(e.AgeMillis)*time.Millisecond)
 		if seen <= state.lastSeen && state.incarnation != 0 {
 			continue
 		}
