Catalog: a requested list ends the pause after a change

A host pauses its watch for up to a second after each change (two for the list of hosts), so that a burst of changes costs one call. A list that was requested meanwhile, because a peer knows a later change or because the host becomes a fresh reader, waited for the end of that pause: a withdrawn upstream could stay in use for 1.0 s (the reader's own pause) + 1.15 s (delay of the list) + 1.0 s after the acknowledgement, where 2.5 s are allowed.

The request now ends the pause. TestRelistInterruptsThePauseAfterAChange failed before. The model of failing fresh readers also plays a burst of other changes, with the readers' pause; every change is in force within 2.5 s.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -101,7 +101,7 @@
 	// because they follow a failure or a missed change.
 	FirstList Consistency
 	// CoalesceDelay is the delay between a change and the next watch, so that a burst of
-	// changes costs one call.
+	// changes costs one call. A request for a list ends it.
 	CoalesceDelay time.Duration
 	// Progress receives the revision up to which the copy is complete, the revision of
 	// the last change, and the consistency of the read that ended.
@@ -186,11 +186,23 @@
 		}
 		f.progress(state.Changes, read)
 		if len(state.Changes) > 0 {
-			sleep(ctx, f.options.CoalesceDelay)
+			f.coalesce(ctx)
 		}
 	}
 }
 
+// coalesce waits until further changes may have followed or a list is requested.
+func (f *follower[T]) coalesce(ctx context.Context) {
+	timer := time.NewTimer(f.options.CoalesceDelay)
+	defer timer.Stop()
+	select {
+	case <-f.options.Relist:
+		f.listed = false
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // cancelOnRelist cancels a watch when a list is requested. The returned function stops
 // waiting for requests and reports whether there was one.
 func (f *follower[T]) cancelOnRelist(cancel context.CancelFunc) func() bool {
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -40,6 +40,11 @@
 }
 
 func follow(t *testing.T, s Source[string], relist chan struct{}) *recorder {
+	t.Helper()
+	return followWith(t, s, relist, 0)
+}
+
+func followWith(t *testing.T, s Source[string], relist chan struct{}, coalesceDelay time.Duration) *recorder {
 	t.Helper()
 	r := &recorder{updates: make(chan Update[string], 64), unreachable: make(chan struct{}, 64), reachable: make(chan struct{}, 64), progress: make(chan [2]uint64, 64)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -48,7 +53,8 @@
 		defer close(done)
 		Follow(ctx, s, Options{
 			Relist: relist, Watch: func() (time.Duration, Consistency) { return time.Minute, Stale }, FirstList: Stale,
-			Progress: func(complete, changed uint64, _ Consistency) { r.progress <- [2]uint64{complete, changed} },
+			CoalesceDelay: coalesceDelay,
+			Progress:      func(complete, changed uint64, _ Consistency) { r.progress <- [2]uint64{complete, changed} },
 		}, Observer[string]{
 			Apply:       func(u Update[string]) { r.updates <- u },
 			Unreachable: func(error) { r.unreachable <- struct{}{} },
@@ -94,6 +100,27 @@
 	require.Equal(t, []Consistency{Stale, Latest}, s.reads)
 }
 
+// Guards against a list that waits until the pause after a change is over: a host in touch
+// would use a withdrawn upstream for up to a second longer.
+func TestRelistInterruptsThePauseAfterAChange(t *testing.T) {
+	watches := 0
+	s := &scriptedSource{
+		list: func(call int) (State[string], error) { return State[string]{Revision: uint64(call * 10)}, nil },
+		watch: func(ctx context.Context, since uint64) (State[string], error) {
+			if watches++; watches == 1 {
+				return State[string]{Revision: since + 1, Changes: []Change[string]{{Name: "a", Revision: since + 1, Item: "v"}}}, nil
+			}
+			return blockUntilCancelled(ctx, since)
+		},
+	}
+	relist := make(chan struct{}, 1)
+	r := followWith(t, s, relist, time.Hour)
+	receive(t, r.updates)
+	receive(t, r.updates)
+	relist <- struct{}{}
+	require.Equal(t, uint64(20), receive(t, r.updates).Revision)
+}
+
 // Guards against missing changes that the store dropped with its history.
 func TestCompactionTriggersRelist(t *testing.T) {
 	first := true
--- a/edge/freshmodel_test.go
+++ b/edge/freshmodel_test.go
@@ -37,6 +37,9 @@
 	byID     map[fleet.HostID]*modelHost
 	messages []modelMessage
 	plan     []modelEvent
+	// burst is the time between two looks of a fresh reader while other changes follow each
+	// other; 0 without them.
+	burst time.Duration
 	// slow is how much later the store answers each call.
 	slow time.Duration
 	// changeAt is when the store acknowledges the change.
@@ -250,7 +253,7 @@
 			h.watchEnds = now.Add(catalog.ShortWatchTimeout)
 			h.fleet.countCall()
 		}
-		h.apply(visible)
+		h.apply(visible && h.lastLook() >= h.fleet.changeAt.Add(modelCall/2))
 	default:
 		h.apply(now >= h.fleet.changeAt.Add(modelStaleLag))
 	}
@@ -264,6 +267,16 @@
 	}
 }
 
+// lastLook returns when a fresh reader last looked for changes.
+func (h *modelHost) lastLook() machine.Instant {
+	f := h.fleet
+	if f.burst == 0 {
+		return f.now
+	}
+	phase := time.Duration(h.member.Incarnation[0]) * 37 * time.Millisecond
+	return f.now.Add(-(f.now.Sub(0) + phase) % f.burst)
+}
+
 func (h *modelHost) apply(visible bool) {
 	if !visible || h.changed {
 		return
