--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -21,6 +21,8 @@
 	Runs     int           `default:"1" help:"Number of runs, one after the other."`
 	Duration time.Duration `default:"60s" help:"Time of a run in which hosts are stopped and changed."`
 	Logs     string        `type:"path" help:"Directory for a record of each run."`
+	Hosts    int           `help:"Number of hosts of a run of planned stops; the seed decides if it is 0."`
+	Faults   bool          `help:"Disturb the store too in a run of planned stops."`
 	Changes  bool          `help:"Withdraw keys, routes, upstreams and failure domains, and disturb the store too, in place of planned stops under traffic."`
 	MaxHosts int           `default:"9" help:"Hosts with which a run of changes begins, at most."`
 }
@@ -61,7 +63,7 @@
 		defer func() { _ = file.Close() }()
 		output = file
 	}
-	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Output: output}
+	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Hosts: c.Hosts, StoreFaults: c.Faults, Output: output}
 	if c.Changes {
 		report, err := soak.RunChanges(ctx, options)
 		if err != nil {
