--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,10 +12,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/internal/endless"
 )
 
-// endless writes prefix once, then unit until the connection is closed.
-func endless(prefix, unit string, pause time.Duration, sent *atomic.Int64) connectionHandler {
+// repeat writes prefix once, then unit until the connection is closed.
+func repeat(prefix, unit string, pause time.Duration, sent *atomic.Int64) connectionHandler {
 	return func(s *stubServer, c net.Conn, r *bufio.Reader) {
 		s.readRequest(r)
 		_, _ = io.WriteString(c, prefix)
@@ -33,30 +33,15 @@
 }
 
 // endlessAnswers are bytes that are no answer, or not the end of one.
-var endlessAnswers = map[string]struct{ prefix, unit string }{
-	"status line":    {"HTTP/1.1 200 ", strings.Repeat("a", 32<<10)},
-	"header line":    {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("a", 32<<10)},
-	"header lines":   {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: a\r\n", 4<<10)},
-	"empty lines":    {"", strings.Repeat("\r\n", 4<<10)},
-	"interim":        {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<10)},
-	"chunk header":   {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1", strings.Repeat("0", 32<<10)},
-	"chunk comment":  {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("a", 32<<10)},
-	"trailer line":   {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", strings.Repeat("a", 32<<10)},
-	"trailer lines":  {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X: a\r\n", 4<<10)},
-	"chunks":         {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\na\r\n", 4<<10)},
-	"body to close":  {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", strings.Repeat("a", 32<<10)},
-	"body of length": {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9000000000000\r\n\r\n", strings.Repeat("a", 32<<10)},
-	"foreign":        {"", strings.Repeat("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\n\r\na", 1<<10)},
-	"garbage":        {"", strings.Repeat("\x00\xff", 16<<10)},
-}
+var endlessAnswers = endless.Forms("Id: 1\r\n")
 
 // Guards against a host that reads, and holds, an answer without end until its memory
 // is used up, and against a verdict of "not run" on such an answer.
 func TestAnswerWithoutEndIsBounded(t *testing.T) {
-	for name, answer := range endlessAnswers {
-		t.Run(name, func(t *testing.T) {
+	for _, answer := range endlessAnswers {
+		t.Run(answer.Name, func(t *testing.T) {
 			var sent atomic.Int64
-			s := startStub(t, endless(answer.prefix, answer.unit, 0, &sent))
+			s := startStub(t, repeat(answer.Prefix, answer.Unit, 0, &sent))
 			c := NewClient(testCodec{}, 4<<20)
 			result := exchangeWith(t, c, s, request("1"))
 			require.Equal(t, Broken, result.Outcome, result.Err)
@@ -73,7 +58,7 @@
 // Guards against a slow answer without end that outlives its request.
 func TestSlowAnswerWithoutEndStopsAtDeadline(t *testing.T) {
 	var sent atomic.Int64
-	s := startStub(t, endless("HTTP/1.1 200 OK\r\nX: ", "a", time.Millisecond, &sent))
+	s := startStub(t, repeat("HTTP/1.1 200 OK\r\nX: ", "a", time.Millisecond, &sent))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	result := NewClient(testCodec{}, 4<<20).Exchange(ctx, s.target, request("1"), Attempt{})
@@ -86,10 +71,10 @@
 func TestAnswersWithoutEndLeaveMemoryForOthers(t *testing.T) {
 	const exchanges, memory = 64, 8 << 20
 	var sent atomic.Int64
-	bad := startStub(t, endless("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", strings.Repeat("a", 32<<10), 0, &sent))
+	bad := startStub(t, repeat("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", strings.Repeat("a", 32<<10), 0, &sent))
 	good := startStub(t, respondToEach(func(id string) string { return okResponse(id, strings.Repeat("b", 60<<10)) }))
 	c := NewClient(testCodec{}, memory)
-	before := liveHeapBytes()
+	before := endless.LiveHeap()
 	var group sync.WaitGroup
 	for range exchanges {
 		group.Go(func() {
@@ -103,21 +88,13 @@
 		result := exchangeWith(t, c, good, request("2"))
 		require.Equal(t, Answered, result.Outcome, result.Err)
 		result.Response.Release()
-		highest = max(highest, liveHeapBytes())
+		highest = max(highest, endless.LiveHeap())
 	}
 	group.Wait()
 	require.Zero(t, c.responses.Used())
 	require.Less(t, highest-before, int64(32<<20))
 }
 
-// liveHeapBytes returns the size of the objects that a collection finds in use.
-func liveHeapBytes() int64 {
-	runtime.GC()
-	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-	metrics.Read(live)
-	return int64(live[0].Value.Uint64())
-}
-
 // Guards against a deadline during connection setup that is reported as a caller that
 // has left: nothing was sent, so the request has not run.
 func TestDeadlineWhileConnectingMeansNotRun(t *testing.T) {
@@ -148,7 +125,7 @@
 // memory after the exchange, or take an answer with another ID for this request's.
 func FuzzReadResponse(f *testing.F) {
 	for _, answer := range endlessAnswers {
-		f.Add([]byte(answer.prefix + answer.unit[:min(64, len(answer.unit))]))
+		f.Add([]byte(answer.Prefix + answer.Unit[:min(64, len(answer.Unit))]))
 	}
 	f.Add([]byte(okResponse("1", "body")))
 	f.Fuzz(func(t *testing.T, text []byte) {
