Edge: look-ups, readiness and metrics are served within bounds

A thousand clients that sent a header line without end to the directory made a host hold 128 MB (a header of up to 1 MB each, any number of connections); the host has 284 MB. The three auxiliary listeners now bound the header (8 KB), the time of a request, its body (none) and the connections (600, not kept after a response above 300).

TestRequestsWithoutEndLeaveRoomForLookups failed before (128 MB held, 32 MB allowed): look-ups are answered beside 1,000 clients with headers, bodies, half heads or nothing.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -238,14 +238,10 @@
 	group.Go(e.datagrams.Run)
 	group.Go(func() { e.maintain(ctx) })
 	group.Go(func() { _ = e.server.Serve(e.listeners.callers) })
-	servers := []*http.Server{
-		{Handler: e.readinessHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
-		{Handler: e.directoryHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
-		{Handler: e.metricsHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute},
-	}
+	servers := []*auxiliaryServer{newAuxiliaryServer(e.readinessHandler()), newAuxiliaryServer(e.directoryHandler()), newAuxiliaryServer(e.metricsHandler())}
 	for i, l := range []net.Listener{e.listeners.readiness, e.listeners.directory, e.listeners.metrics} {
 		group.Go(func() {
-			if err := servers[i].Serve(l); err != http.ErrServerClosed {
+			if err := servers[i].serve(l); err != http.ErrServerClosed {
 				e.log.Error().Err(err).Msg("listener failed")
 			}
 		})
