Ingress: headers of requests are bounded together

The bytes of headers that are read or handled now have a budget of a sixteenth of the memory limit; a request beyond it gets 503 with Retry-After, and its connection is closed after the answers before it.

New gauge callers.header_bytes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -43,6 +43,9 @@
 	// requestMemoryPart is the part of the memory limit that bodies of callers' requests
 	// may hold while they are read or handled.
 	requestMemoryPart = 8
+	// headMemoryPart is the part of the memory limit that the bytes of callers' headers may
+	// take. Parsed, they take about three times as much.
+	headMemoryPart = 16
 )
 
 // Store is the part of the platform's store that an entry host uses.
@@ -169,6 +172,7 @@
 		Unanswered:     e.logUnanswered,
 		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
+		HeadBytes:      o.Settings.memoryBytes() / headMemoryPart,
 		BodyBytes:      o.Settings.memoryBytes() / requestMemoryPart,
 	})
 	e.registerGauges()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -90,6 +90,7 @@
 	for name, read := range map[string]func() int64{
 		"callers.connections":  func() int64 { return int64(e.server.Connections()) },
 		"callers.body_bytes":   e.server.BodyBytes,
+		"callers.header_bytes": e.server.HeadBytes,
 		"upstreams.body_bytes": e.upstream.ResponseBytes,
 		"upstreams.known":      func() int64 { return int64(e.steering.UpstreamCount()) },
 		"upstreams.cold":       func() int64 { return int64(e.steering.ColdCount(e.now())) },
--- a/ingress/buffered_test.go
+++ b/ingress/buffered_test.go
@@ -10,7 +10,7 @@
 // Guards against a connection that is closed as idle, without a response, although the
 // next request has arrived with the last one and waits in the read buffer.
 func TestBufferedRequestIsAcceptedByConnectionAskedToClose(t *testing.T) {
-	s := New(Config{Handler: echo, Limits: func() Limits { return Limits{} }, MaxConnections: 8, BodyBytes: testBodyBytes})
+	s := New(Config{Handler: echo, Limits: func() Limits { return Limits{} }, MaxConnections: 8, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes})
 	l := listen(t)
 	caller, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -154,13 +154,13 @@
 		p := &pendingRequest{request: request, response: make(chan *Response, 1), last: request.Close}
 		if !c.accept(p) {
 			c.reportUnanswered(p, &NotAcceptedError{})
-			request.memory.Release()
+			request.releaseMemory()
 			c.watchForDisconnect()
 			return
 		}
 		go func() {
 			p.response <- c.server.config.Handler(c.ctx, request)
-			request.memory.Release()
+			request.releaseMemory()
 		}()
 		c.enqueue(p)
 		if p.last {
@@ -179,7 +179,7 @@
 	default:
 	}
 	// The next bytes stay in the buffer, which holds no more than this.
-	c.limit.start(readBufferBytes+1, &HeaderTooLargeError{})
+	c.limit.start(readBufferBytes+1, &HeaderTooLargeError{}, nil)
 	_ = c.raw.SetReadDeadline(time.Time{})
 	watched := make(chan struct{})
 	go func() {
--- a/ingress/edges_test.go
+++ b/ingress/edges_test.go
@@ -80,7 +80,7 @@
 // and drops it, because the response before it was written just before the stop began.
 func TestDrainAcceptsRequestSentAfterResponseThatKeepsConnection(t *testing.T) {
 	started := make(chan string, 8)
-	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, BodyBytes: testBodyBytes, Handler: func(ctx context.Context, request *Request) *Response {
+	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes, Handler: func(ctx context.Context, request *Request) *Response {
 		started <- request.URL.Path
 		return echo(ctx, request)
 	}})
@@ -113,7 +113,7 @@
 // the limit.
 func TestBurstOfConnectionsStaysWithinLimit(t *testing.T) {
 	const limit, burst = 4, 16
-	s := New(Config{Handler: echo, Limits: func() Limits { return Limits{} }, MaxConnections: limit, BodyBytes: testBodyBytes})
+	s := New(Config{Handler: echo, Limits: func() Limits { return Limits{} }, MaxConnections: limit, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes})
 	l := listen(t)
 	connect := func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -163,7 +163,7 @@
 func TestRequestDroppedByDrainIsReported(t *testing.T) {
 	reported := make(chan string, 1)
 	started, release := make(chan struct{}), make(chan struct{})
-	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, BodyBytes: testBodyBytes,
+	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes,
 		Unanswered: func(r *Request, _ error) { reported <- r.URL.Path },
 		Handler: func(ctx context.Context, request *Request) *Response {
 			close(started)
@@ -234,7 +234,7 @@
 // not started to serve it.
 func TestWaitIncludesConnectionThatServeHasJustAccepted(t *testing.T) {
 	handled := make(chan struct{}, 1)
-	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, BodyBytes: testBodyBytes, Handler: func(ctx context.Context, request *Request) *Response {
+	s := New(Config{Limits: func() Limits { return Limits{} }, MaxConnections: 8, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes, Handler: func(ctx context.Context, request *Request) *Response {
 		handled <- struct{}{}
 		return echo(ctx, request)
 	}})
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -22,7 +22,7 @@
 	// maxFramingBytes bounds the chunk headers and the trailer of a body. net/http
 	// itself rejects bodies with much more framing than content.
 	maxFramingBytes = 256 << 10
-	// memoryRetryAfter is the Retry-After when bodies hold their part of the memory:
+	// memoryRetryAfter is the Retry-After when requests hold their part of the memory:
 	// about the time in which a request is answered.
 	memoryRetryAfter = 400 * time.Millisecond
 )
@@ -33,6 +33,8 @@
 	remaining int64
 	// exceeded is the error of a read beyond the limit.
 	exceeded error
+	// account holds the memory for what is read; nil if it is reserved elsewhere.
+	account *bytebudget.Account
 	// err is the error of the last read. The parser reports a line that it truncated
 	// as malformed.
 	err error
@@ -44,8 +46,8 @@
 func (*HeaderTooLargeError) Error() string { return "the header is larger than allowed" }
 
 // start begins a header or body of at most limit bytes.
-func (l *limitedReader) start(limit int64, exceeded error) {
-	l.remaining, l.exceeded = limit, exceeded
+func (l *limitedReader) start(limit int64, exceeded error, account *bytebudget.Account) {
+	l.remaining, l.exceeded, l.account = limit, exceeded, account
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -58,6 +60,11 @@
 	}
 	n, err := l.source.Read(p)
 	l.remaining -= int64(n)
+	if l.account != nil {
+		if reserveErr := l.account.Reserve(int64(n)); reserveErr != nil {
+			err = reserveErr
+		}
+	}
 	l.err = err
 	return n, err
 }
@@ -70,8 +77,18 @@
 
 // readRequest reads one request.
 func (c *conn) readRequest() (*Request, error) {
+	head := c.server.heads.Open()
+	request, err := c.readWithHead(head)
+	if err != nil {
+		head.Release()
+	}
+	return request, err
+}
+
+// readWithHead reads one request and reserves the memory of its header.
+func (c *conn) readWithHead(head *bytebudget.Account) (*Request, error) {
 	limits := c.server.config.Limits()
-	c.limit.start(int64(orDefault(limits.HeaderBytes, defaultHeaderBytes))+readBufferBytes, &HeaderTooLargeError{})
+	c.limit.start(int64(orDefault(limits.HeaderBytes, defaultHeaderBytes))+readBufferBytes, &HeaderTooLargeError{}, head)
 	if err := c.awaitRequest(orDefault(limits.IdleTimeout, defaultIdleTimeout)); err != nil {
 		return nil, err
 	}
@@ -87,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Request{Request: parsed, Body: body, Received: received, memory: memory}, nil
+	return &Request{Request: parsed, Body: body, Received: received, head: head, memory: memory}, nil
 }
 
 // refuse queues an error response to a request that could not be read.
@@ -154,7 +171,7 @@
 	if err := c.setReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, nil, err
 	}
-	c.limit.start(limit+maxFramingBytes, &http.MaxBytesError{Limit: limit})
+	c.limit.start(limit+maxFramingBytes, &http.MaxBytesError{Limit: limit}, nil)
 	body, err := bytebudget.ReadAll(c.bodyReader(r), r.ContentLength, limit, memory)
 	if err == nil {
 		return body, memory, nil
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -20,6 +20,8 @@
 	config Config
 	// bodies is the memory for the bodies of requests that are being read or handled.
 	bodies *bytebudget.Budget
+	// heads is the memory for the headers of requests that are being read or handled.
+	heads *bytebudget.Budget
 
 	// work ends when Abort gives up the open requests.
 	work  context.Context
@@ -49,13 +51,16 @@
 	// MaxConnections is the maximum number of connections. When a further one
 	// arrives, one that has long been idle is closed, or the new one if none is idle.
 	MaxConnections int
+	// HeadBytes bounds the bytes of headers of requests that are read or handled at a time.
+	// A parsed header takes about three times its bytes.
+	HeadBytes int64
 	// BodyBytes bounds the memory that bodies of requests hold together.
 	BodyBytes int64
 }
 
 // New returns a server.
 func New(c Config) *Server {
-	s := &Server{config: c, bodies: bytebudget.New(c.BodyBytes), conns: make(map[*conn]struct{})}
+	s := &Server{config: c, bodies: bytebudget.New(c.BodyBytes), heads: bytebudget.New(c.HeadBytes), conns: make(map[*conn]struct{})}
 	s.work, s.abort = context.WithCancelCause(context.Background())
 	return s
 }
@@ -187,6 +192,9 @@
 // BodyBytes returns the memory reserved for bodies of requests.
 func (s *Server) BodyBytes() int64 { return s.bodies.Used() }
 
+// HeadBytes returns the memory reserved for headers of requests.
+func (s *Server) HeadBytes() int64 { return s.heads.Used() }
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -17,6 +17,9 @@
 // testBodyBytes is the memory for bodies in tests.
 const testBodyBytes = 1 << 20
 
+// testHeadBytes bounds the headers of requests in tests.
+const testHeadBytes = 1 << 20
+
 // testServer is a running Server that reports the path of each request it starts.
 type testServer struct {
 	*Server
@@ -28,7 +31,7 @@
 	t.Helper()
 	r := &testServer{started: make(chan string, 64)}
 	r.Server = New(Config{
-		Limits: func() Limits { return limits }, MaxConnections: 8, BodyBytes: testBodyBytes,
+		Limits: func() Limits { return limits }, MaxConnections: 8, HeadBytes: testHeadBytes, BodyBytes: testBodyBytes,
 		Handler: func(ctx context.Context, request *Request) *Response {
 			r.started <- request.URL.Path
 			return handler(ctx, request)
--- a/ingress/types.go
+++ b/ingress/types.go
@@ -50,14 +50,20 @@
 type Request struct {
 	*http.Request
 	Body []byte
-	// memory is the reservation for Body, which ends when the handler returns.
-	memory *bytebudget.Account
+	// head and memory are the reservations for the header and for Body, which end when the
+	// handler returns.
+	head, memory *bytebudget.Account
 	// Received is when the first byte of the header arrived.
 	Received time.Time
 	// sentTo is the upstream that last got the request.
 	sentTo atomic.Pointer[fleet.Upstream]
 }
 
+func (r *Request) releaseMemory() {
+	r.head.Release()
+	r.memory.Release()
+}
+
 // SetSentTo records that the request is sent to an upstream.
 func (r *Request) SetSentTo(u fleet.Upstream) { r.sentTo.Store(&u) }
 
--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -17,7 +17,7 @@
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// ExceededError reports a reservation that exceeds what one body may hold at the moment.
+// ExceededError reports a reservation that exceeds what one header or body may hold at the moment.
 type ExceededError struct {
 	// Held is the number of bytes that the account would have held, Used and Total are
 	// those of the budget.
@@ -25,11 +25,11 @@
 }
 
 func (e *ExceededError) Error() string {
-	return "a body of " + strconv.FormatInt(e.Held, 10) + " bytes exceeds its part of the memory for bodies: " +
+	return "a header or body of " + strconv.FormatInt(e.Held, 10) + " bytes exceeds its part of the memory: " +
 		strconv.FormatInt(e.Used, 10) + " of " + strconv.FormatInt(e.Total, 10) + " bytes are in use"
 }
 
-// Account holds the reservation of one body. It is not safe for concurrent use.
+// Account holds the reservation of one header or body. It is not safe for concurrent use.
 type Account struct {
 	budget *Budget
 	held   int64
