Customers without a burst are served; bodies that never fit are refused for good

A body that can't fit on a host, whatever else is in use, was answered 503 with Retry-After 0.4 s, again and again. It is refused at once without Retry-After: another host may have more memory. Requests that can't be read have a log line with the cause, which they had not. TestBodyThatNeverFitsIsRefusedAtOnceWithoutRetryAfter failed before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -243,13 +243,17 @@
 	return v
 }
 
+// minBurst is the smallest burst of a customer, in requests over all hosts: with less, no
+// host would ever hold a whole token. The platform tolerates 20 requests more than the limit.
+const minBurst = 8
+
 // setCustomers posts the customers' limits of a configuration to the control loop. It
 // retries while the loop's inbox is full.
 func (e *Edge) setCustomers(s *policy.Snapshot) {
 	input := limits.SetCustomers{Revision: fleet.Revision(s.Version)}
 	for i := range s.Customers {
 		if c := &s.Customers[i]; c.Rate > 0 {
-			input.Customers = append(input.Customers, limits.CustomerLimit{ID: c.Name, Rate: c.Rate, Burst: c.Burst})
+			input.Customers = append(input.Customers, limits.CustomerLimit{ID: c.Name, Rate: c.Rate, Burst: max(c.Burst, minBurst)})
 		}
 	}
 	for !e.loop.Post(e.modules.limits, input) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -170,6 +170,7 @@
 	e.server = ingress.New(ingress.Config{
 		Handler:        e.handle,
 		Unanswered:     e.logUnanswered,
+		Refused:        e.logUnreadable,
 		Limits:         e.callerLimits,
 		MaxConnections: max(64, o.Settings.Descriptors-reservedDescriptors),
 		HeadBytes:      o.Settings.memoryBytes() / headMemoryPart,
--- a/edge/request.go
+++ b/edge/request.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// logUnreadable counts and logs a request that was refused because it could not be read.
+func (e *Edge) logUnreadable(cause error, status int) {
+	e.hostMetrics.count("requests.unreadable")
+	if e.logSink.Allow(logsink.Failure) {
+		e.log.Warn().Int("status", status).Err(cause).Msg("request could not be read")
+	}
+}
+
 // serve admits a request and sends it to upstreams. It returns the response and the
 // outcome for logs and metrics.
 func (r *request) serve(ctx context.Context) (response *ingress.Response, outcome string) {
--- a/ingress/bodies_test.go
+++ b/ingress/bodies_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Guards against a caller that is asked to come back with a body that never fits.
+func TestBodyThatNeverFitsIsRefusedAtOnceWithoutRetryAfter(t *testing.T) {
+	r := startServer(t, Limits{BodyBytes: 4 * testBodyBytes}, echo)
+	c, reader := r.dial(t)
+	send(t, c, post("/a", 2*testBodyBytes))
+	response, _ := read(t, reader)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Empty(t, response.Header.Get("Retry-After"))
+}
+
 // Guards against memory that stays reserved for an uploader that stops in the middle.
 func TestUploaderThatLeavesReturnsMemory(t *testing.T) {
 	r := startServer(t, Limits{BodyBytes: testBodyBytes}, echo)
--- a/ingress/read.go
+++ b/ingress/read.go
@@ -108,7 +108,10 @@
 }
 
 // refuse queues an error response to a request that could not be read.
-func (c *conn) refuse(status int, retryAfter time.Duration) {
+func (c *conn) refuse(cause error, status int, retryAfter time.Duration) {
+	if report := c.server.config.Refused; report != nil {
+		report(cause, status)
+	}
 	p := &pendingRequest{response: make(chan *Response, 1), last: true}
 	p.response <- Refuse(status, retryAfter)
 	if c.accept(p) {
@@ -128,16 +131,19 @@
 	var network net.Error
 	switch {
 	case errors.As(err, &large):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge, 0)
+		c.refuse(err, http.StatusRequestHeaderFieldsTooLarge, 0)
 	case errors.As(err, &body):
-		c.refuse(http.StatusRequestEntityTooLarge, 0)
+		c.refuse(err, http.StatusRequestEntityTooLarge, 0)
+	case errors.As(err, &memory) && memory.Never():
+		// It will never fit here, but another host may have more memory.
+		c.refuse(err, http.StatusServiceUnavailable, 0)
 	case errors.As(err, &memory):
 		// Nothing was sent upstream, so the request has not run.
-		c.refuse(http.StatusServiceUnavailable, memoryRetryAfter)
+		c.refuse(err, http.StatusServiceUnavailable, memoryRetryAfter)
 	case errors.As(err, &bad):
-		c.refuse(http.StatusBadRequest, 0)
+		c.refuse(err, http.StatusBadRequest, 0)
 	case errors.As(err, &slow):
-		c.refuse(http.StatusRequestTimeout, 0)
+		c.refuse(err, http.StatusRequestTimeout, 0)
 	case errors.As(err, &network) && network.Timeout():
 		// The connection is idle. Requests that were read before are still answered.
 	default:
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -51,6 +51,9 @@
 	// MaxConnections is the maximum number of connections. When a further one
 	// arrives, one that has long been idle is closed, or the new one if none is idle.
 	MaxConnections int
+	// Refused, if set, is called for each request that could not be read, with the status
+	// of the response.
+	Refused func(cause error, status int)
 	// HeadBytes bounds the bytes of headers of requests that are read or handled at a time.
 	// A parsed header takes about three times its bytes.
 	HeadBytes int64
--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -29,6 +29,9 @@
 		strconv.FormatInt(e.Used, 10) + " of " + strconv.FormatInt(e.Total, 10) + " bytes are in use"
 }
 
+// Never reports whether the reservation would fail even if nothing else was in use.
+func (e *ExceededError) Never() bool { return e.Held > e.Total/2 }
+
 // Account holds the reservation of one header or body. It is not safe for concurrent use.
 type Account struct {
 	budget *Budget
