Peers: copies of a datagram are dropped

Datagrams are sealed for their receiver, but a copy was accepted again whenever it came: one of a digest or heartbeat of a host that has ended would let it count as alive. TestReplayedDatagramsAreDropped failed before (three messages for one).

--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
@@ -41,8 +42,8 @@
 
 // Datagrams exchanges short messages between hosts that share a key. Each message
 // is one UDP datagram, encrypted with AES-256-GCM (NIST SP 800-38D) and bound to
-// its receiver; it may be lost, duplicated or reordered. There are no connections,
-// so the cost does not grow with the number of hosts. Datagrams is safe for
+// its receiver; it may be lost or reordered. Copies are dropped for half a minute at
+// least. There are no connections, so the cost does not grow with the number of hosts. Datagrams is safe for
 // concurrent use.
 type Datagrams struct {
 	config DatagramConfig
@@ -56,7 +57,10 @@
 	unlistedMu sync.Mutex
 	unlisted   map[fleet.HostID]netip.AddrPort
 
-	rejected, oversized, failed metrics.Counter
+	// seen is used by Run only.
+	seen replayFilter
+
+	rejected, replayed, oversized, failed metrics.Counter
 }
 
 // envelope is the plaintext of a datagram.
@@ -80,6 +84,7 @@
 	d := &Datagrams{
 		config: c, codec: codec, conn: conn,
 		rejected:  metrics.NewRegisteredCounter("peer.datagrams.rejected", c.Metrics),
+		replayed:  metrics.NewRegisteredCounter("peer.datagrams.replayed", c.Metrics),
 		oversized: metrics.NewRegisteredCounter("peer.datagrams.oversized", c.Metrics),
 		failed:    metrics.NewRegisteredCounter("peer.datagrams.failed", c.Metrics),
 	}
@@ -191,6 +196,10 @@
 			d.rejected.Inc(1)
 			continue
 		}
+		if !d.seen.isNew(time.Now(), buffer[:n]) {
+			d.replayed.Inc(1)
+			continue
+		}
 		d.learnAddress(from.Host, source)
 		d.config.Receive(from, m)
 	}
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -96,3 +98,38 @@
 	var wrong *KeyError
 	require.ErrorAs(t, (&Datagrams{}).SetKey([]byte("short")), &wrong)
 }
+
+// Guards against a copy of a datagram, from the network or from a process outside the fleet,
+// that is taken for a new message: a digest or heartbeat of a host that has ended would let
+// it count as alive.
+func TestReplayedDatagramsAreDropped(t *testing.T) {
+	a, b := listenDatagrams(t, "a", 1), listenDatagrams(t, "b", 1)
+	tap, err := net.ListenUDP("udp4", nil)
+	require.NoError(t, err)
+	defer func() { _ = tap.Close() }()
+	a.SetPeers(map[fleet.HostID]netip.AddrPort{"b": tap.LocalAddr().(*net.UDPAddr).AddrPort()})
+	a.Send("b", textMessage{Text: "once"})
+	buffer := make([]byte, MaxDatagramSize)
+	n, err := tap.Read(buffer)
+	require.NoError(t, err)
+	for range 3 {
+		_, err = tap.WriteToUDPAddrPort(buffer[:n], b.Address())
+		require.NoError(t, err)
+	}
+	require.Equal(t, "a:once", receive(t, b))
+	require.Eventually(t, func() bool { return b.count("peer.datagrams.replayed") == 2 }, 5*time.Second, time.Millisecond)
+	require.Empty(t, b.got)
+}
+
+// Guards against a filter that grows without bound, or forgets early.
+func TestReplayFilterRemembersForItsPeriod(t *testing.T) {
+	var f replayFilter
+	now := time.Unix(100, 0)
+	nonce := func(i int) []byte { return binary.LittleEndian.AppendUint64(nil, uint64(i)) }
+	require.True(t, f.isNew(now, nonce(1)))
+	require.False(t, f.isNew(now.Add(replayPeriod), nonce(1)))
+	for i := range 5 * maxRemembered {
+		f.isNew(now.Add(replayPeriod), nonce(10+i))
+		require.LessOrEqual(t, len(f.current)+len(f.previous), 2*maxRemembered)
+	}
+}
