Dispatch: responses that are read are bounded together

catkinspring serve bounded each response (8 MB), not all of them: several upstreams that send without end, or large responses to many callers, could hold gigabytes.

TestResponsesAreBoundedTogether failed before (32 responses of 1 MB beside a budget of 4 MB all passed). Gauge dispatch.response_bytes.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/traffic"
@@ -22,6 +23,9 @@
 	// DefaultMaxResponseBytes limits the body of a response, because responses are
 	// held in memory until they are complete.
 	DefaultMaxResponseBytes = 8 << 20
+	// DefaultResponseMemoryBytes limits the responses that are read at a time. Several
+	// upstreams that send without end must not use up the host's memory.
+	DefaultResponseMemoryBytes = 128 << 20
 	// capacityRetryAfter is the Retry-After sent when upstreams shed load, which
 	// lasts for about the duration of a request.
 	capacityRetryAfter = time.Second
@@ -35,6 +39,9 @@
 	Dial DialFunc
 	// MaxResponseBytes limits the body of a response; 0 means the default.
 	MaxResponseBytes int
+	// ResponseMemoryBytes limits what all responses that are being read hold together; 0
+	// means the default.
+	ResponseMemoryBytes int64
 	// Table is the quarantine table that Report's inputs update; nil means none.
 	Table *Table
 	// Report sends Suspected and Succeeded inputs to the control loop. It must not
@@ -51,6 +58,8 @@
 	table            *Table
 	report           func(machine.Input)
 	maxResponseBytes int
+	// responses is the memory for responses that are being read.
+	responses *bytebudget.Budget
 
 	pool             *pool
 	prober           *prober
@@ -78,10 +87,15 @@
 	if d.maxResponseBytes <= 0 {
 		d.maxResponseBytes = DefaultMaxResponseBytes
 	}
+	if config.ResponseMemoryBytes <= 0 {
+		config.ResponseMemoryBytes = DefaultResponseMemoryBytes
+	}
+	d.responses = bytebudget.New(config.ResponseMemoryBytes)
 	registry := config.Registry
 	if registry == nil {
 		registry = metrics.DefaultRegistry
 	}
+	registry.GetOrRegister("dispatch.response_bytes", metrics.NewFunctionalGauge(d.responses.Used))
 	registry.GetOrRegister("dispatch.queued", metrics.NewFunctionalGauge(d.queueLimiter.total.Load))
 	if d.report == nil {
 		d.report = func(machine.Input) {}
--- a/dispatch/endless_test.go
+++ b/dispatch/endless_test.go
@@ -1,11 +1,20 @@
 package dispatch
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/internal/endless"
@@ -28,3 +37,68 @@
 		return err
 	})
 }
+
+// Guards against many responses that each keep to the bound of one and together use up the
+// host's memory.
+func TestResponsesAreBoundedTogether(t *testing.T) {
+	const deadline, memory, size = 2 * time.Second, 4 << 20, 1 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go answerLarge(l, size)
+	b := newTestDispatcher()
+	b.Dispatcher = New(Config{Placer: b.placer, Clock: testClock{}, ResponseMemoryBytes: memory, Registry: metrics.NewRegistry()})
+	b.placer.targets = []traffic.Target{{Name: "u2", Address: l.Addr().(*net.TCPAddr).AddrPort()}}
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	for range 32 {
+		group.Go(func() {
+			if _, err := b.run(newRequest("m", configuration.SemanticsIdempotent, deadline)); err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); group.Wait() }()
+	for running := true; running; {
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(time.Millisecond):
+		}
+		require.LessOrEqual(t, b.responses.Used(), int64(memory))
+	}
+	require.Zero(t, b.responses.Used())
+	require.Positive(t, failed.Load(), "32 responses of 1 MB at a time exceed 4 MB")
+	_, err = b.run(newRequest("m", configuration.SemanticsIdempotent, deadline))
+	require.NoError(t, err)
+}
+
+// answerLarge answers each request with a body of a size, slowly enough that responses
+// overlap.
+func answerLarge(l net.Listener, size int) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			reader := bufio.NewReader(c)
+			for {
+				var r fasthttp.Request
+				if r.ReadLimitBody(reader, 1<<20) != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", HeaderRequestID, r.Header.Peek(HeaderRequestID), size)
+				part := bytes.Repeat([]byte("a"), size/16)
+				for range 16 {
+					time.Sleep(10 * time.Millisecond)
+					if _, err := c.Write(part); err != nil {
+						return
+					}
+				}
+			}
+		}()
+	}
+}
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -65,11 +65,14 @@
 		}
 	}
 	closed := false
+	c.account = e.d.responses.Open()
 	finish := func(reuse bool) {
 		if closed {
 			return
 		}
 		closed = true
+		c.account.Release()
+		c.account = nil
 		if reuse {
 			e.d.pool.put(e.target.Address, c)
 		} else {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 	"github.com/catkinspring/catkinspring/upstream"
 	"net"
 	"net/netip"
@@ -39,7 +40,9 @@
 // in the pool.
 type connection struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader *bufio.Reader
+	// account holds the memory of what the present exchange reads; nil between exchanges.
+	account   *bytebudget.Account
 	openedAt  time.Time
 	idleSince time.Time
 	reused    bool
@@ -114,7 +117,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, maxHeaderBytes), openedAt: time.Now()}, nil
+	c := &connection{Conn: raw, openedAt: time.Now()}
+	c.reader = bufio.NewReaderSize(accountedReader{c}, maxHeaderBytes)
+	return c, nil
+}
+
+// accountedReader reads from a connection and reserves the bytes that it returns.
+type accountedReader struct{ connection *connection }
+
+func (r accountedReader) Read(p []byte) (int, error) {
+	n, err := r.connection.Conn.Read(p)
+	if r.connection.account != nil {
+		if reserveErr := r.connection.account.Reserve(int64(n)); reserveErr != nil {
+			// The parser ignores an error that comes with bytes.
+			return 0, reserveErr
+		}
+	}
+	return n, err
 }
 
 // put makes a connection idle after an exchange without errors.
