Tests of signals: ports that no outgoing connection takes

The test takes free ports and starts to listen on them half a second later; they were in the range from which the system takes those of outgoing connections. The tests now use the adjacent ports of platform/rig, below that range.

--- a/cmd/catkinspring/signals_test.go
+++ b/cmd/catkinspring/signals_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"github.com/catkinspring/catkinspring/platform/rig"
 )
 
 // commandVariable makes the test binary run the command line that it contains.
@@ -32,15 +34,15 @@
 // grace is the grace period of the processes.
 const grace = 2 * time.Second
 
-// freeAddresses returns addresses on loopback that no process listens on.
+// freeAddresses returns addresses on loopback that no process listens on, at adjacent ports
+// that the system gives to no outgoing connection.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
+	first, err := rig.FreePorts(n)
+	require.NoError(t, err)
 	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+	for i := range n {
+		list = append(list, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(first+i)))
 	}
 	return list
 }
@@ -59,9 +61,6 @@
 func newEdgeProcess(t *testing.T) *edgeProcess {
 	t.Helper()
 	a := freeAddresses(t, 6)
-	if a[4].Port() > a[5].Port() {
-		a[4], a[5] = a[5], a[4]
-	}
 	p := &edgeProcess{
 		callers:  a[0].String(),
 		settings: filepath.Join(t.TempDir(), "node.toml"),
