--- a/edge/control.go
+++ b/edge/control.go
@@ -243,9 +243,17 @@
 	return v
 }
 
-// minBurst is the smallest burst of a customer, in requests over all hosts: with less, no
-// host would ever hold a whole token. The platform tolerates 20 requests more than the limit.
-const minBurst = 8
+// defaultBurst is the burst of a customer without one, in requests over all hosts: otherwise
+// no host would ever hold a whole token. The platform tolerates 20 requests more than the
+// limit.
+const defaultBurst = 8
+
+func burstOf(c *policy.Customer) float64 {
+	if c.Burst < 1 {
+		return defaultBurst
+	}
+	return c.Burst
+}
 
 // setCustomers posts the customers' limits of a configuration to the control loop. It
 // retries while the loop's inbox is full.
@@ -253,7 +261,7 @@
 	input := limits.SetCustomers{Revision: fleet.Revision(s.Version)}
 	for i := range s.Customers {
 		if c := &s.Customers[i]; c.Rate > 0 {
-			input.Customers = append(input.Customers, limits.CustomerLimit{ID: c.Name, Rate: c.Rate, Burst: max(c.Burst, minBurst)})
+			input.Customers = append(input.Customers, limits.CustomerLimit{ID: c.Name, Rate: c.Rate, Burst: burstOf(c)})
 		}
 	}
 	for !e.loop.Post(e.modules.limits, input) {
