--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -110,6 +110,7 @@
 	r.EndReuse()
 	for i := 1; i <= 2; i++ {
 		send(t, c, get(fmt.Sprint("/", i+2)))
+		require.Eventually(t, func() bool { return r.DroppedPipelined() == 1 }, 5*time.Second, time.Millisecond, "a request behind an open one is not accepted")
 		close(release[fmt.Sprint("/", i)])
 		response, body := read(t, reader)
 		require.Equal(t, fmt.Sprint("/", i), body)
