--- a/cmd/catkinspring/signals_test.go
+++ b/cmd/catkinspring/signals_test.go
@@ -110,6 +110,30 @@
 	})
 }
 
+// startEdgeProcess starts a process and waits until it serves.
+func startEdgeProcess(t *testing.T) *edgeProcess {
+	t.Helper()
+	p := newEdgeProcess(t)
+	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
+	p.start(t)
+	p.awaitLine(t, "entry host started")
+	return p
+}
+
+// fillLog fills the pipe of the log, so that the next line waits for the reader.
+func (p *edgeProcess) fillLog(t *testing.T) {
+	t.Helper()
+	pipe, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", p.output.Fd()), unix.O_WRONLY|unix.O_NONBLOCK, 0)
+	require.NoError(t, err)
+	defer func() { _ = unix.Close(pipe) }()
+	for part := make([]byte, 4096); len(part) > 0; {
+		if _, err := unix.Write(pipe, part); err != nil {
+			require.ErrorIs(t, err, unix.EAGAIN)
+			part = part[:len(part)/2]
+		}
+	}
+}
+
 // awaitLine reads log lines up to one with the message.
 func (p *edgeProcess) awaitLine(t *testing.T, message string) {
 	t.Helper()
@@ -174,10 +198,7 @@
 // Guards against further signals that end a planned stop before requests are answered.
 func TestSignalsDuringPlannedStopLoseNoRequest(t *testing.T) {
 	t.Parallel()
-	p := newEdgeProcess(t)
-	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
-	p.start(t)
-	p.awaitLine(t, "entry host started")
+	p := startEdgeProcess(t)
 	finish := p.halfSentRequest(t)
 	p.signal(t, syscall.SIGTERM)
 	p.awaitLine(t, "planned stop begins")
@@ -194,10 +215,7 @@
 // log has ended.
 func TestClosedStandardOutputDoesNotEndTheProcess(t *testing.T) {
 	t.Parallel()
-	p := newEdgeProcess(t)
-	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
-	p.start(t)
-	p.awaitLine(t, "entry host started")
+	p := startEdgeProcess(t)
 	require.NoError(t, p.output.Close())
 	finish := p.halfSentRequest(t)
 	p.signal(t, syscall.SIGTERM)
@@ -209,17 +227,8 @@
 // kills the process.
 func TestStalledLogReaderDoesNotDelayTheStop(t *testing.T) {
 	t.Parallel()
-	p := newEdgeProcess(t)
-	require.NoError(t, os.WriteFile(p.settings, []byte(p.content), 0o600))
-	p.start(t)
-	p.awaitLine(t, "entry host started")
-	_, err := unix.FcntlInt(p.output.Fd(), unix.F_SETPIPE_SZ, 4096)
-	require.NoError(t, err)
-	// Each SIGHUP causes a line; together they fill the pipe.
-	for range 200 {
-		p.signal(t, syscall.SIGHUP)
-		time.Sleep(2 * time.Millisecond)
-	}
+	p := startEdgeProcess(t)
+	p.fillLog(t)
 	p.signal(t, syscall.SIGTERM)
 	ended := make(chan error, 1)
 	go func() { ended <- p.Wait() }()
@@ -244,7 +253,7 @@
 	require.NoError(t, err)
 	p.signal(t, syscall.SIGTERM)
 	signalled := time.Now()
-	time.Sleep(grace / 4)
+	time.Sleep(grace / 4) // the start takes that long
 	_, err = io.WriteString(file, p.content)
 	require.NoError(t, err)
 	require.NoError(t, file.Close())
--- a/dispatch/endless_test.go
+++ b/dispatch/endless_test.go
@@ -45,7 +45,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	go answerLarge(l, size)
+	rest := make(chan struct{})
+	go answerLarge(l, size, rest)
 	b := newTestDispatcher()
 	b.Dispatcher = New(Config{Placer: b.placer, Clock: testClock{}, ResponseMemoryBytes: memory, Registry: metrics.NewRegistry()})
 	b.placer.targets = []traffic.Target{{Name: "u2", Address: l.Addr().(*net.TCPAddr).AddrPort()}}
@@ -60,23 +61,18 @@
 	}
 	ended := make(chan struct{})
 	go func() { defer close(ended); group.Wait() }()
-	for running := true; running; {
-		select {
-		case <-ended:
-			running = false
-		case <-time.After(time.Millisecond):
-		}
-		require.LessOrEqual(t, b.responses.Used(), int64(memory))
-	}
+	require.Eventually(t, func() bool { return failed.Load() > 0 }, deadline, time.Millisecond, "32 responses of 1 MB at a time exceed 4 MB")
+	require.LessOrEqual(t, b.responses.Used(), int64(memory))
+	close(rest)
+	<-ended
 	require.Zero(t, b.responses.Used())
-	require.Positive(t, failed.Load(), "32 responses of 1 MB at a time exceed 4 MB")
 	_, err = b.run(newRequest("m", configuration.SemanticsIdempotent, deadline))
 	require.NoError(t, err)
 }
 
-// answerLarge answers each request with a body of a size, slowly enough that responses
-// overlap.
-func answerLarge(l net.Listener, size int) {
+// answerLarge answers each request with a body of a size, whose last byte follows once rest is
+// closed.
+func answerLarge(l net.Listener, size int, rest <-chan struct{}) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -91,12 +87,12 @@
 					return
 				}
 				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", HeaderRequestID, r.Header.Peek(HeaderRequestID), size)
-				part := bytes.Repeat([]byte("a"), size/16)
-				for range 16 {
-					time.Sleep(10 * time.Millisecond)
-					if _, err := c.Write(part); err != nil {
-						return
-					}
+				if _, err := c.Write(bytes.Repeat([]byte("a"), size-1)); err != nil {
+					return
+				}
+				<-rest
+				if _, err := c.Write([]byte("a")); err != nil {
+					return
 				}
 			}
 		}()
--- a/edge/auxiliary_test.go
+++ b/edge/auxiliary_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,11 +34,13 @@
 			go func() { _ = s.serve(l) }()
 			defer func() { _ = s.Close() }()
 			payload := []byte(text)
+			var opened atomic.Int64
 			before := endless.LiveHeap()
 			for range clients {
 				go func() {
 					// Closed by the server.
 					if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+						opened.Add(1)
 						for err == nil && text != "" {
 							_, err = c.Write(payload)
 							if name == "kept" || name == "half a head" {
@@ -49,7 +52,7 @@
 					}
 				}()
 			}
-			time.Sleep(200 * time.Millisecond)
+			require.Eventually(t, func() bool { return opened.Load() == clients }, lookupTimeout, time.Millisecond)
 			highest := int64(0)
 			for range 3 {
 				client := http.Client{Timeout: lookupTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/ingress/heads_test.go
+++ b/ingress/heads_test.go
@@ -66,8 +66,8 @@
 					}
 				})
 			}
+			require.Eventually(t, func() bool { return s.HeadBytes() > headBytes/2 }, 5*time.Second, time.Millisecond)
 			for range 10 {
-				time.Sleep(50 * time.Millisecond)
 				require.LessOrEqual(t, s.HeadBytes(), int64(headBytes))
 				require.LessOrEqual(t, endless.LiveHeap()-before, int64(held))
 			}
