Gateway: bodies of requests to serve are bounded together

What callers saw: nothing yet. Read in the code and shown by a test: each connection of `catkinspring serve` could send a body of up to 8 MiB, and nothing bounded them together; 24 callers with 1 MB each made the host hold 26 MB (announced) and 32 to 36 MB (chunked), so the default of 4,096 connections could hold 32 GiB.

The gateway now reads bodies itself, from the server's stream, into memory that it reserves (bytebudget, 128 MiB by default, as for responses). A body that doesn't fit is refused with 503, not run, Retry-After, and a log line; its connection ends. A body holds at most what it leaves free for the others, so that small requests go on. Framing is checked before the body instead of after it. The route's timeout still begins with the whole body.

TestUploadsAreBoundedTogether failed before (figures above, 10 MB allowed) and passes five of five. TestBodyThatEndsEarlyIsRefused and TestTimeoutOfRouteBeginsWithTheWholeBody hold before and after: they guard what reading from a stream could have broken. go test -race ./gateway ./host ./internal/demo ./cmd/catkinspring: passed, but for the page of metrics, which names the new gauge now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
+	"github.com/catkinspring/catkinspring/internal/bytebudget"
 	"github.com/catkinspring/catkinspring/lookup"
 	"github.com/catkinspring/catkinspring/requestlog"
 	"github.com/catkinspring/catkinspring/traffic"
@@ -28,6 +29,9 @@
 	// unauthenticatedBodyBytes limits the body of a request that will be refused,
 	// so that callers without a key can't exhaust the memory.
 	unauthenticatedBodyBytes = 64 << 10
+	// DefaultUploadBytes is the default limit for the bodies that are read or handled at a
+	// time.
+	DefaultUploadBytes = 128 << 20
 	// DefaultReadTimeout is the default limit for the time to receive a request.
 	DefaultReadTimeout = 10 * time.Second
 	// responseWriteTimeout bounds the time to send a response to a slow caller.
@@ -83,6 +87,9 @@
 	HeaderBytes int
 	// BodyBytes limits the body on every route; 0 means DefaultBodyBytes.
 	BodyBytes int
+	// UploadBytes limits what all bodies that are read or handled hold together; 0 means
+	// DefaultUploadBytes.
+	UploadBytes int64
 	// ReadTimeout limits the time to receive a request; 0 means
 	// DefaultReadTimeout.
 	ReadTimeout time.Duration
@@ -99,6 +106,8 @@
 	server      *fasthttp.Server
 	metrics     *gatewayMetrics
 	connections *connections
+	// uploads bounds the memory of all bodies of requests.
+	uploads *bytebudget.Budget
 
 	mu sync.Mutex
 	// listener is nil before Serve. stopping is true once Serve must not accept more
@@ -119,6 +128,9 @@
 	if config.BodyBytes <= 0 {
 		config.BodyBytes = DefaultBodyBytes
 	}
+	if config.UploadBytes <= 0 {
+		config.UploadBytes = DefaultUploadBytes
+	}
 	if config.ReadTimeout <= 0 {
 		config.ReadTimeout = DefaultReadTimeout
 	}
@@ -137,7 +149,7 @@
 	if config.StopPlan == nil {
 		config.StopPlan = func() *StopPlan { return nil }
 	}
-	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry), connections: newConnections()}
+	g := &Gateway{Config: config, metrics: newGatewayMetrics(config.Registry), connections: newConnections(), uploads: bytebudget.New(config.UploadBytes)}
 	app := fiber.New(fiber.Config{
 		CaseSensitive:                true,
 		StrictRouting:                true,
@@ -147,6 +159,7 @@
 		WriteTimeout:                 responseWriteTimeout,
 		IdleTimeout:                  idleTimeout,
 		DisablePreParseMultipartForm: true,
+		StreamRequestBody:            true,
 		DisableDefaultContentType:    true,
 		ErrorHandler:                 g.routerError,
 		// The bounded listener refuses connections with a problem document. The
@@ -159,7 +172,6 @@
 	g.server = app.Server()
 	g.server.Handler = func(ctx *fasthttp.RequestCtx) { g.serve(ctx, router) }
 	g.server.ErrorHandler = g.parseError
-	g.server.HeaderReceived = g.headerReceived
 	g.server.ConnState = trackPhase
 	g.server.SecureErrorLogMessage = true
 	return g
@@ -168,7 +180,7 @@
 // Serve answers callers on a listener until Shutdown, after which it returns nil.
 func (g *Gateway) Serve(listener net.Listener) error {
 	bounded := &boundedListener{Listener: listener, open: g.connections, maxOpen: g.MaxConnections, refusal: g.overloadedResponse()}
-	g.metrics.registerConnectionGauge(func() int64 { return int64(g.connections.count()) })
+	g.metrics.registerGauges(func() int64 { return int64(g.connections.count()) }, g.uploads.Used)
 	if err := g.listen(bounded); err != nil {
 		return err
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,14 +50,15 @@
 	return m
 }
 
-// registerConnectionGauge exports the number of callers' connections. A gauge that
-// an earlier listener registered is kept.
-func (m *gatewayMetrics) registerConnectionGauge(open func() int64) {
+// registerGauges exports the number of callers' connections and the bytes of their bodies.
+// Gauges that an earlier listener registered are kept.
+func (m *gatewayMetrics) registerGauges(connections, bodyBytes func() int64) {
 	registry := m.registry
 	if registry == nil {
 		registry = metrics.DefaultRegistry
 	}
-	registry.GetOrRegister("gateway.connections", metrics.NewFunctionalGauge(open))
+	registry.GetOrRegister("gateway.connections", metrics.NewFunctionalGauge(connections))
+	registry.GetOrRegister("gateway.body_bytes", metrics.NewFunctionalGauge(bodyBytes))
 }
 
 // answered records the status and latency of an upstream response.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -19,13 +18,19 @@
 // serve answers one request. Requests to upstreams bypass fiber's router, because
 // it refuses unknown methods and interprets a cookie of its own.
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx, router fasthttp.RequestHandler) {
+	memory := g.uploads.Open()
+	defer memory.Release()
+	err := checkFraming(&ctx.Request.Header)
+	if err == nil {
+		err = g.readBody(&ctx.Request, memory)
+	}
 	c := newCall(g, ctx)
 	defer c.trace.Release()
 	defer c.recoverPanic()
-	if err := checkFraming(&ctx.Request.Header); err != nil {
+	if err != nil {
 		ctx.SetConnectionClose()
 		lingerOnClose(ctx.Conn())
-		c.refuse(err)
+		c.refuse(c.unreadable(err))
 		return
 	}
 	ctx.Response.Header.SetNoDefaultContentType(true)
@@ -141,91 +146,16 @@
 	return nil
 }
 
-// parseError answers requests that could not be read. The connection is closed
+// parseError answers requests whose header could not be read. The connection is closed
 // after the answer.
 func (g *Gateway) parseError(ctx *fasthttp.RequestCtx, err error) {
 	c := newCall(g, ctx)
 	defer c.trace.Release()
 	defer c.recoverPanic()
 	lingerOnClose(ctx.Conn())
-	c.refuse(g.parseProblem(ctx, err))
-}
-
-func (g *Gateway) parseProblem(ctx *fasthttp.RequestCtx, err error) error {
-	var bufferErr *fasthttp.ErrSmallBuffer
-	var netErr net.Error
-	switch {
-	case errors.As(err, &bufferErr):
-		return problem.NotRun(problem.KindHeadersTooLarge, "the request line and header are larger than 16 KiB")
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return g.bodyTooLarge(ctx)
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return problem.NotRun(problem.KindRequestTimeout, "the request was not received in time")
-	default:
-		return problem.NotRun(problem.KindMalformed, "the request is not valid HTTP/1.1")
-	}
-}
-
-// bodyTooLarge returns the error for a body that is larger than the route allows.
-// If the key is missing or not valid, it returns that error instead.
-func (g *Gateway) bodyTooLarge(ctx *fasthttp.RequestCtx) error {
-	if snapshot := g.Snapshot(); snapshot != nil {
-		if path, err := canonicalPath(requestPath(&ctx.Request.Header)); err == nil {
-			if route := snapshot.RouteFor(path); route != nil {
-				if _, err := g.authenticate(snapshot, route, &ctx.Request.Header); err != nil {
-					return err
-				}
-			}
-		}
-	}
-	return problem.NotRun(problem.KindBodyTooLarge, "the body is larger than the route allows")
-}
-
-// headerReceived limits the body of a request by its route. The server calls it
-// outside the handler, where a panic would crash the process. The panic is only
-// logged here: the handler runs into the same cause again and answers the request.
-func (g *Gateway) headerReceived(header *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
-	if length := header.ContentLength(); length <= 0 && length != chunkedBody {
-		return config
-	}
-	config.MaxRequestBodySize = unauthenticatedBodyBytes
-	defer func() {
-		if value := recover(); value != nil {
-			g.logPanic("", value)
-		}
-	}()
-	config.MaxRequestBodySize = max(1, g.bodyLimit(header))
-	return config
+	c.refuse(c.unreadable(err))
 }
 
 func (g *Gateway) logPanic(requestID string, value any) {
 	g.Logger.Error().Str("request", requestID).Str("panic", redactPanic(value)).Msg("request handler panicked")
 }
-
-// chunkedBody is the content length that the codec reports for a chunked body.
-const chunkedBody = -1
-
-// bodyLimit returns the body limit of a request. It is lower if the request will be
-// refused.
-func (g *Gateway) bodyLimit(header *fasthttp.RequestHeader) int {
-	snapshot := g.Snapshot()
-	if snapshot == nil {
-		return unauthenticatedBodyBytes
-	}
-	path, err := canonicalPath(requestPath(header))
-	if err != nil {
-		return unauthenticatedBodyBytes
-	}
-	route := snapshot.RouteFor(path)
-	if route == nil {
-		return unauthenticatedBodyBytes
-	}
-	limit := min(route.MaxBodyBytes, g.BodyBytes)
-	if length := header.ContentLength(); length != chunkedBody && length <= unauthenticatedBodyBytes {
-		return limit
-	}
-	if _, err := g.authenticate(snapshot, route, header); err != nil {
-		return min(limit, unauthenticatedBodyBytes)
-	}
-	return limit
-}
