QUOTA: an unreadable entry of a host frees no share of the limits

What callers would see: customers served beyond their limits, until the host of the entry ends.

Cause: a host whose entry in the store became unreadable (another writer, or a build that writes another form) was left out of the list of hosts, as upstreams are. All others divided the limits without it, while it went on with its share, if it was cut off from the store. Its own process could not mend it either: it tried to create the entry, in vain.

Now the last readable entry of a host stays in force, and its own process writes it again. If it had not joined when it was last read, it counts as if it had joined right after. An entry that was never readable stands for a host that may hold anything: hosts that joined before it was registered go by the list up to it, others hold nothing and borrow.

Evidence: the model of limits draws unreadable entries beside its other troubles (LIMITS_SPOILED, TestUnreadableEntriesFreeNoShare).

--- a/catalog/entries.go
+++ b/catalog/entries.go
@@ -41,6 +41,9 @@
 	// change; both are 0 for an entry that is not in the store.
 	Registered uint64 `json:"-"`
 	Revision   uint64 `json:"-"`
+	// Unreadable is true if the entry in the store is unreadable and the other fields are
+	// those of the last readable one.
+	Unreadable bool `json:"-"`
 }
 
 // SamePlace reports whether two entries are of the same host at the same addresses.
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -29,7 +29,8 @@
 	Name string
 	// Revision is the store revision of the change, or a later one.
 	Revision uint64
-	// Item is valid unless Removed is true.
+	// Item is valid unless Removed is true. The item of an unusable object holds what the
+	// source could read of it.
 	Item T
 	// Removed is true if the object was deleted or its content is unusable.
 	Removed bool
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -35,7 +35,7 @@
 		e.steering.SetEvacuated(e.now(), domains)
 		e.log.Info().Any("domains", domains).Int("cold", e.steering.ColdCount(e.now())).Uint64("store", u.Revision).Msg("evacuations changed")
 	})
-	hosts := objectMap[catalog.Host]{}
+	hosts := newHostList(e.Settings.ID)
 	followKind(ctx, group, e, kindHosts, e.Store.Hosts(), func(u catalog.Update[catalog.Host]) {
 		hosts.apply(u)
 		e.applyHosts(hosts, u.Revision)
@@ -212,29 +212,27 @@
 // maxLoggedChanges is the number of changes up to which each is logged on its own.
 const maxLoggedChanges = 20
 
-func (e *Edge) applyHosts(all objectMap[catalog.Host], revision uint64) {
-	list := make([]catalog.Host, 0, len(all))
-	for _, h := range all {
-		list = append(list, h)
-	}
+func (e *Edge) applyHosts(hosts *hostList, revision uint64) {
+	list := hosts.entries()
+	all := append(slices.Clone(list), hosts.unreadable()...)
 	if e.hosts.Load() == nil && slices.ContainsFunc(list, e.ownEntry().SamePlace) {
 		// An earlier process was registered at this address. It has ended, because the
 		// platform runs one process at a time on a machine.
 		e.loop.Post(e.modules.limits, limits.Succession{})
 	}
-	e.hosts.Store(&list)
+	e.hosts.Store(&all)
 	e.wakeRegistration()
 	e.steering.SetHosts(list)
-	sharing := len(list)
-	if !slices.ContainsFunc(list, func(h catalog.Host) bool { return h.ID == e.Settings.ID }) {
+	sharing := len(all)
+	if !slices.ContainsFunc(all, func(h catalog.Host) bool { return h.ID == e.Settings.ID }) {
 		sharing++
 	}
 	e.budget.SetHosts(sharing)
-	for !e.loop.Post(e.modules.gossip, gossip.SetHosts{Hosts: list}) {
+	for !e.loop.Post(e.modules.gossip, gossip.SetHosts{Hosts: hosts.divisible()}) {
 		// The loop's inbox is full.
 		time.Sleep(maintenanceInterval)
 	}
-	e.log.Info().Int("hosts", len(list)).Uint64("store", revision).Msg("registered hosts changed")
+	e.log.Info().Int("hosts", len(list)).Int("unread", len(hosts.unread)).Uint64("store", revision).Msg("registered hosts changed")
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/limits/fleet_test.go
+++ b/limits/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -31,6 +32,8 @@
 	joined     uint64
 	generation uint64
 	revision   uint64
+	// unreadable is true after another writer replaced the entry.
+	unreadable bool
 }
 
 // storeVersion is the content of the store from an instant on.
@@ -72,10 +75,12 @@
 
 // modelProcess is one incarnation of a host; nil while the host is down.
 type modelProcess struct {
-	member            fleet.Member
-	table             *Table
-	machine           *Machine
-	copied            *storeVersion
+	member  fleet.Member
+	table   *Table
+	machine *Machine
+	copied  *storeVersion
+	// readable are the entries that this process has read last.
+	readable          map[fleet.HostID]registration
 	nextPoll, nextPut machine.Instant
 	nextGossip        machine.Instant
 	known             map[fleet.HostID]fleet.Member
@@ -144,8 +149,8 @@
 func (f *fleetModel) start(h *modelHost) {
 	f.nextStart++
 	p := &modelProcess{
-		member: fleet.Member{Host: h.id, Incarnation: fleet.Incarnation{byte(f.nextStart), byte(f.nextStart >> 8), 1}},
-		known:  map[fleet.HostID]fleet.Member{}, seen: map[fleet.HostID]machine.Instant{},
+		member:   fleet.Member{Host: h.id, Incarnation: fleet.Incarnation{byte(f.nextStart), byte(f.nextStart >> 8), 1}},
+		readable: map[fleet.HostID]registration{}, known: map[fleet.HostID]fleet.Member{}, seen: map[fleet.HostID]machine.Instant{},
 	}
 	p.table = NewTable(f, func(in machine.Input) { p.posted = append(p.posted, in) })
 	p.machine = f.build(p.table)
@@ -183,7 +188,7 @@
 		if e.generation > 0 && e.joined == 0 {
 			e.joined = next.revision
 		}
-		e.revision = next.revision
+		e.revision, e.unreadable = next.revision, false
 		next.entries[i] = e
 	default:
 		return
@@ -191,6 +196,16 @@
 	f.versions = append(f.versions, next)
 }
 
+// spoil makes a host's entry unreadable.
+func (f *fleetModel) spoil(id fleet.HostID) {
+	last := f.versions[len(f.versions)-1]
+	next := storeVersion{at: f.at, revision: last.revision + 1, entries: slices.Clone(last.entries)}
+	if e := next.find(id); e != nil {
+		e.unreadable, e.revision = true, next.revision
+		f.versions = append(f.versions, next)
+	}
+}
+
 // put writes a host's entry. Its answer may be lost, and it may take effect late.
 func (f *fleetModel) put(h *modelHost, e registration) {
 	switch f.rng.IntN(10) {
@@ -218,6 +233,13 @@
 	switch {
 	case own == nil:
 		f.put(h, registration{host: h.id, region: h.region})
+	case own.unreadable:
+		next, known := h.readable[h.id]
+		if !known {
+			next = registration{host: h.id, region: h.region, registered: own.registered}
+		}
+		next.revision, next.generation = own.revision, max(next.generation, h.settled)
+		f.put(h, next)
 	case own.generation < h.settled:
 		next := *own
 		next.generation = h.settled
@@ -245,6 +267,38 @@
 		return
 	}
 	h.copied, h.dirty = &v, true
+	for _, e := range v.entries {
+		known, ok := h.readable[e.host]
+		switch {
+		case !e.unreadable:
+			h.readable[e.host] = e
+		case ok && known.joined == 0 && e.host != h.id:
+			// The host may have joined before its entry became unreadable.
+			known.joined = known.revision + 1
+			h.readable[e.host] = known
+		}
+	}
+}
+
+// entries returns the entries that a host goes by: those that it has read last. Hosts that
+// were registered after an entry that it has never read have no registration, and neither
+// has the host itself if it joined after that.
+func (h *modelHost) entries() []registration {
+	var list []registration
+	first := uint64(math.MaxUint64)
+	for _, e := range h.copied.entries {
+		if known, ok := h.readable[e.host]; ok {
+			list = append(list, known)
+		} else {
+			first = min(first, e.registered)
+		}
+	}
+	for i := range list {
+		if e := &list[i]; e.registered > first || e.host == h.id && e.joined > first {
+			e.registered = 0
+		}
+	}
+	return list
 }
 
 func (v *storeVersion) find(id fleet.HostID) *registration {
@@ -260,11 +314,12 @@
 // of a region.
 func (f *fleetModel) view(h *modelHost) machine.ViewChanged {
 	regions := map[fleet.Region]int{}
-	for _, e := range h.copied.entries {
+	entries := h.entries()
+	for _, e := range entries {
 		regions[e.region]++
 	}
 	v := &fleet.View{Self: h.member}
-	for _, e := range h.copied.entries {
+	for _, e := range entries {
 		member := h.known[e.host]
 		member.Host = e.host
 		if e.host == h.id {
--- a/limits/share_test.go
+++ b/limits/share_test.go
@@ -82,6 +82,28 @@
 	}
 }
 
+// Guards against an unreadable entry that frees the share of its host, and against a process
+// that starts beside one, and divides by a shorter list than its predecessor recorded.
+// LIMITS_SPOILED=<first>-<last> plays other seeds.
+func TestUnreadableEntriesFreeNoShare(t *testing.T) {
+	first, last := seedRange(t, "LIMITS_SPOILED", 160, 169)
+	for seed := first; seed <= last; seed++ {
+		f := newFleetModel(seed, recordedInStore)
+		f.add(1+f.rng.IntN(3), 1+f.rng.IntN(4))
+		f.run(f.within(0, 15*time.Second))
+		for range 6 + f.rng.IntN(10) {
+			if f.rng.IntN(3) > 0 {
+				f.drawTrouble()
+			}
+			f.spoil(f.hosts[f.rng.IntN(len(f.hosts))].id)
+			f.run(f.within(0, 4*time.Second))
+		}
+		f.run(8 * time.Second)
+		require.Empty(t, f.violations(), "seed %d", seed)
+		require.Empty(t, f.overlap, "seed %d", seed)
+	}
+}
+
 // Guards against a model of a fleet that finds nothing.
 func TestFleetModelFindsSharesThatAreHeldTwice(t *testing.T) {
 	overlaps, violations := 0, 0
