Fresh readers: pauses, watches and pending lists add up to less than the bound

What callers would see: requests sent to an upstream, or by a key or route, up to 2.7 s after it was withdrawn; 2.5 s are allowed.

Cause: a reader paused for 1 s after a change and vouched meanwhile; its next watch could take another 1.8 s until it noticed a cut; and a list that was pending when the readers were lost kept its delay of 1.15 s. Each was sound alone.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -95,15 +95,16 @@
 	// Relist requests an immediate list in place of the current watch, for example
 	// because a peer has seen a later change.
 	Relist <-chan struct{}
-	// Watch returns the long-poll timeout and the consistency of the next watch. A
-	// stale watch requires a peer that requests a list when this host misses a change.
-	Watch func() (wait time.Duration, read Consistency)
+	// Watch returns the long-poll timeout and the consistency of the next watch, which
+	// follows a pause after a change; 0 if there was none. A stale watch requires a peer
+	// that requests a list when this host misses a change.
+	Watch func(paused time.Duration) (wait time.Duration, read Consistency)
 	// FirstList is the consistency of the first list. All later lists are Latest,
 	// because they follow a failure or a missed change.
 	FirstList Consistency
-	// CoalesceDelay is the delay between a change and the next watch, so that a burst of
-	// changes costs one call. A request for a list ends it.
-	CoalesceDelay time.Duration
+	// Pause returns the time between a change and the next watch, so that a burst of changes
+	// costs one call. A request for a list ends it.
+	Pause func() time.Duration
 	// Progress receives the revision up to which the copy is complete, the revision of
 	// the last change, and the consistency of the read that ended.
 	Progress func(complete, changed uint64, read Consistency)
@@ -129,6 +130,8 @@
 	lastChange          uint64
 	revision            uint64
 	failures            int
+	// paused is the pause before the next watch.
+	paused time.Duration
 }
 
 func (f *follower[T]) step(ctx context.Context) {
@@ -165,7 +168,8 @@
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stopRelist := f.cancelOnRelist(cancel)
-	wait, read := f.options.Watch()
+	wait, read := f.options.Watch(f.paused)
+	f.paused = 0
 	state, err := f.source.Watch(watchCtx, f.revision, wait, read)
 	if stopRelist() {
 		f.listed = false
@@ -194,11 +198,12 @@
 
 // coalesce waits until further changes may have followed or a list is requested.
 func (f *follower[T]) coalesce(ctx context.Context) {
-	timer := time.NewTimer(f.options.CoalesceDelay)
+	f.paused = f.options.Pause()
+	timer := time.NewTimer(f.paused)
 	defer timer.Stop()
 	select {
 	case <-f.options.Relist:
-		f.listed = false
+		f.listed, f.paused = false, 0
 	case <-ctx.Done():
 	case <-timer.C:
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -54,7 +54,7 @@
 	kindCount
 )
 
-// coalesceDelays are the delays between a change of each kind and the next watch.
+// coalesceDelays are the pauses between a change of each kind and the next watch.
 // Changes must be in force within 2.5 s; those of upstreams and configurations come in
 // bursts of several per second, and the hosts of a starting fleet register together.
 var coalesceDelays = [kindCount]time.Duration{
@@ -64,6 +64,18 @@
 	kindHosts:         2 * time.Second,
 }
 
+// maxReaderPause bounds the pause of a fresh reader of a kind whose changes have a bound. If
+// all readers are lost at its end, it adds to the time until others read.
+const maxReaderPause = 400 * time.Millisecond
+
+// watchPause returns the pause between a change and the next watch.
+func watchPause(k kind, reader bool) time.Duration {
+	if reader && slices.Contains(freshKinds[:], k) {
+		return min(coalesceDelays[k], maxReaderPause)
+	}
+	return coalesceDelays[k]
+}
+
 func (k kind) String() string {
 	return [...]string{"configuration", "upstreams", "evacuations", "hosts"}[k]
 }
@@ -98,17 +110,17 @@
 		},
 	}
 	options := catalog.Options{
-		Relist:        p.relist,
-		FirstList:     e.firstListConsistency(k),
-		CoalesceDelay: coalesceDelays[k],
-		Watch: func() (time.Duration, catalog.Consistency) {
-			wait, read := e.watchMode(k)
+		Relist:    p.relist,
+		FirstList: e.firstListConsistency(k),
+		Pause:     func() time.Duration { return watchPause(k, e.freshReader.Load()) },
+		Watch: func(paused time.Duration) (time.Duration, catalog.Consistency) {
+			wait, read := e.watchMode(k, paused)
 			p.watchBegins(e.now(), wait, read)
 			return wait, read
 		},
 		Progress: func(complete, changed uint64, read catalog.Consistency) {
 			p.complete.Store(complete)
-			p.readEnds(e.now(), coalesceDelays[k], read)
+			p.readEnds(e.now(), watchPause(k, e.freshReader.Load()), read)
 			if p.changed.Swap(changed) < changed && e.freshReader.Load() {
 				e.loop.Post(e.modules.gossip, gossip.RevisionsObserved{Revisions: e.revisions()})
 			}
--- a/edge/freshmodel_test.go
+++ b/edge/freshmodel_test.go
@@ -27,7 +27,7 @@
 )
 
 // modelFleet runs the decisions of a fleet under a virtual clock beside a store with one
-// change.
+// change, and others before and after it.
 type modelFleet struct {
 	random *rand.Rand
 	// loss is the share of messages that are lost.
@@ -37,9 +37,9 @@
 	byID     map[fleet.HostID]*modelHost
 	messages []modelMessage
 	plan     []modelEvent
-	// burst is the time between two looks of a fresh reader while other changes follow each
-	// other; 0 without them.
-	burst time.Duration
+	// burst is the time between two other changes, the first of which is offset after the
+	// start; 0 without them.
+	burst, offset time.Duration
 	// slow is how much later the store answers each call.
 	slow time.Duration
 	// changeAt is when the store acknowledges the change.
@@ -73,21 +73,36 @@
 	lacks  map[fleet.HostID]bool
 	gossip *gossip.Machine
 	role   *modelRole
-	// changed is true once the change is in force on this host, touched once the
-	// scenario has disturbed it.
-	changed, touched bool
-	// listDone is when a list completes; 0 if none runs. listAt is when one is requested
-	// because a peer knows a later change; 0 if none does.
-	listDone, listAt machine.Instant
-	// watchEnds is when the current watch of a reader returns without a change.
-	watchEnds machine.Instant
-	known     uint64
+	// touched is true once the scenario has disturbed this host.
+	touched bool
+	// complete is the revision of this host's copy, known the highest that it knows of.
+	complete, known uint64
+	// listDone is when a list completes; 0 if none runs. timer decides when one is requested
+	// because a peer knows a later change.
+	listDone machine.Instant
+	timer    listTimer
+	// watchBegins is when the pause of a reader ends, watchEnds when its watch returns
+	// without a change.
+	watchBegins, watchEnds machine.Instant
 }
 
-const (
-	oldRevision uint64 = 1
-	newRevision uint64 = 2
-)
+// firstRevision is the revision of the store before all changes.
+const firstRevision uint64 = 1
+
+// revisionAt returns the revision of the store at an instant.
+func (f *modelFleet) revisionAt(at machine.Instant) uint64 {
+	revision := firstRevision
+	if f.burst > 0 && at.Sub(0) >= f.offset {
+		revision += uint64((at.Sub(0)-f.offset)/f.burst) + 1
+	}
+	if at >= f.changeAt {
+		revision++
+	}
+	return revision
+}
+
+// changed reports whether the change is in force on a host.
+func (h *modelHost) changed() bool { return h.complete >= h.fleet.revisionAt(h.fleet.changeAt) }
 
 func newModelFleet(n int, seed uint64, changeAt machine.Instant) *modelFleet {
 	f := &modelFleet{random: rand.New(rand.NewPCG(seed, 34)), byID: map[fleet.HostID]*modelHost{}, changeAt: changeAt}
@@ -154,8 +169,8 @@
 func (h *modelHost) start() {
 	f := h.fleet
 	f.starts++
-	h.up, h.known = true, oldRevision
-	h.listDone, h.listAt, h.watchEnds = f.now.Add(modelCall), 0, 0
+	h.up, h.known, h.complete = true, firstRevision, firstRevision
+	h.listDone, h.timer, h.watchBegins, h.watchEnds = f.now.Add(modelCall), listTimer{}, 0, 0
 	h.member = fleet.Member{Host: h.entry.ID, Incarnation: gossip.IncarnationOf(f.starts)}
 	h.gossip = gossip.New(gossip.Config{Host: h.entry.ID, Location: h.entry.Location, Incarnation: f.starts, Joins: f.joins})
 	h.role = newModelRole(h)
@@ -196,12 +211,7 @@
 func (h *modelHost) setCut(cut bool) { h.cut, h.touched = cut, true }
 
 // revisions returns the list that the host reports to its peers.
-func (h *modelHost) revisions() []uint64 {
-	if h.changed {
-		return []uint64{newRevision}
-	}
-	return []uint64{oldRevision}
-}
+func (h *modelHost) revisions() []uint64 { return []uint64{h.complete} }
 
 func (h *modelHost) stepGossip(in machine.Input) {
 	for _, out := range h.gossip.Step(machine.Now{Instant: h.fleet.now}, in) {
@@ -236,52 +246,49 @@
 	}
 }
 
-// readStore models catalog.Follow and checkStaleCopies for one kind of object.
+// readStore models catalog.Follow and checkStaleCopies for the kind of object with the longest
+// pauses.
 func (h *modelHost) readStore() {
 	now := h.fleet.now
-	visible := now >= h.fleet.changeAt.Add(modelCall/2)
+	latest := h.fleet.revisionAt(now.Add(-modelCall / 2))
 	switch {
 	case h.listDone != 0 && now >= h.listDone && h.cut:
 		h.listDone = now.Add(modelRetry)
 	case h.listDone != 0 && now >= h.listDone:
-		h.listDone, h.watchEnds = 0, now.Add(catalog.ShortWatchTimeout)
+		h.listDone, h.watchBegins, h.watchEnds = 0, now, now.Add(readerWatch(0))
 		h.role.listed()
-		h.apply(visible)
-	case h.listDone != 0 || h.cut:
+		h.apply(latest)
+	case h.listDone != 0 || h.cut || now < h.watchBegins:
 	case h.role.reads():
-		if now >= h.watchEnds.Add(h.fleet.slow) {
-			h.watchEnds = now.Add(catalog.ShortWatchTimeout)
-			h.fleet.countCall()
-		}
-		h.apply(visible && h.lastLook() >= h.fleet.changeAt.Add(modelCall/2))
+		h.watch(latest)
 	default:
-		h.apply(now >= h.fleet.changeAt.Add(modelStaleLag))
+		h.apply(h.fleet.revisionAt(now.Add(-modelStaleLag)))
 	}
-	switch {
-	case h.known < newRevision || h.changed:
-		h.listAt = 0
-	case h.listAt == 0:
-		h.listAt = now.Add(h.role.listDelay())
-	case now >= h.listAt:
+	if h.timer.isDue(now, h.complete, h.known, h.role.listDelay()) {
 		h.list()
 	}
 }
 
-// lastLook returns when a fresh reader last looked for changes.
-func (h *modelHost) lastLook() machine.Instant {
-	f := h.fleet
-	if f.burst == 0 {
-		return f.now
+// watch models the watch of a reader, which returns with a change or at its end.
+func (h *modelHost) watch(latest uint64) {
+	now := h.fleet.now
+	switch {
+	case latest > h.complete:
+		pause := watchPause(kindUpstreams, true)
+		h.watchBegins, h.watchEnds = now.Add(pause), now.Add(pause+readerWatch(pause))
+		h.fleet.countCall()
+		h.apply(latest)
+	case now >= h.watchEnds.Add(h.fleet.slow):
+		h.watchEnds = now.Add(readerWatch(0))
+		h.fleet.countCall()
 	}
-	phase := time.Duration(h.member.Incarnation[0]) * 37 * time.Millisecond
-	return f.now.Add(-(f.now.Sub(0) + phase) % f.burst)
 }
 
-func (h *modelHost) apply(visible bool) {
-	if !visible || h.changed {
+func (h *modelHost) apply(revision uint64) {
+	if revision <= h.complete {
 		return
 	}
-	h.changed = true
+	h.complete = revision
 	if h.role.reads() {
 		h.stepGossip(gossip.RevisionsObserved{Revisions: h.revisions()})
 	}
--- a/edge/freshread_test.go
+++ b/edge/freshread_test.go
@@ -139,15 +139,16 @@
 	for name, disturb := range freshScenarios {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for _, burst := range []time.Duration{0, coalesceDelays[kindUpstreams]} {
-				for after := -time.Second; after < 12*time.Second; after += 250 * time.Millisecond {
+			for _, burst := range []time.Duration{0, 500 * time.Millisecond, time.Second, 3 * time.Second} {
+				for after := -2 * time.Second; after < 12*time.Second; after += 250 * time.Millisecond {
 					f := newModelFleet(12, uint64(after.Milliseconds()), modelStart.Add(after))
-					f.burst = burst
+					// The readers pause when the change comes.
+					f.burst, f.offset = burst, (f.changeAt.Sub(0)-2*modelStep)%max(burst, 1)
 					disturb(f)
 					f.run(f.changeAt.Add(changeBound), func() {})
 					for _, h := range f.hosts {
 						if !h.touched {
-							require.True(t, h.changed, "host %s, change acknowledged %v after the first event, other changes each %v", h.entry.ID, after, burst)
+							require.True(t, h.changed(), "host %s, change acknowledged %v after the first event, other changes each %v", h.entry.ID, after, burst)
 						}
 					}
 				}
--- a/edge/progress.go
+++ b/edge/progress.go
@@ -21,9 +21,33 @@
 	// read; only the goroutine that follows the kind uses it.
 	upToDateUntil atomic.Int64
 	lastRead      catalog.Consistency
-	// listAt is when a list is requested because a peer has reported a later change;
-	// 0 if none has. Only the control loop uses it.
-	listAt machine.Instant
+	// list decides when a list is requested. Only the control loop uses it.
+	list listTimer
+}
+
+// listTimer decides when a host lists because a peer knows a later change.
+type listTimer struct {
+	// at is when a list is requested; 0 if the copy is complete.
+	at machine.Instant
+	// requested is the latest revision that was known when one was requested last.
+	requested uint64
+}
+
+// isDue reports whether a list has to be requested now. delay is the time that the watch is
+// given to deliver a change.
+func (t *listTimer) isDue(now machine.Instant, complete, known uint64, delay time.Duration) bool {
+	if known <= complete {
+		t.at = 0
+		return false
+	}
+	if known > t.requested && (t.at == 0 || now.Add(delay) < t.at) {
+		t.at = now.Add(delay)
+	}
+	if t.at == 0 || now < t.at {
+		return false
+	}
+	t.at, t.requested = now.Add(relistInterval), known
+	return true
 }
 
 const (
@@ -117,15 +141,10 @@
 // change for longer than the watch takes to deliver it.
 func (e *Edge) checkStaleCopies(now machine.Instant) {
 	for i := range min(len(e.highestRevisions), len(e.progress)) {
-		p := &e.progress[i]
-		switch {
-		case e.highestRevisions[i] <= p.complete.Load():
-			p.listAt = 0
-		case p.listAt == 0:
-			p.listAt = now.Add(listDelay(kind(i), e.listAtOnce || now < e.listAtOnceUntil))
-		case now >= p.listAt:
-			p.listAt = now.Add(relistInterval)
-			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", p.complete.Load()).Uint64("known", e.highestRevisions[i]).Msg("a peer knows a later change")
+		p, known := &e.progress[i], e.highestRevisions[i]
+		complete := p.complete.Load()
+		if p.list.isDue(now, complete, known, listDelay(kind(i), e.listAtOnce || now < e.listAtOnceUntil)) {
+			e.log.Warn().Stringer("kind", kind(i)).Uint64("complete", complete).Uint64("known", known).Msg("a peer knows a later change")
 			p.requestList()
 		}
 	}
@@ -153,12 +172,16 @@
 // watch. The fresh readers use short timeouts and read the latest state, to find
 // changes that all watches missed. The other hosts may lag: the fresh readers report
 // to them what they have missed, and they list it then.
-func (e *Edge) watchMode(k kind) (time.Duration, catalog.Consistency) {
+func (e *Edge) watchMode(k kind, paused time.Duration) (time.Duration, catalog.Consistency) {
 	switch {
 	case !e.freshReader.Load():
 		return catalog.LongWatchTimeout, catalog.Stale
 	case k == kindHosts:
 		return catalog.LongWatchTimeout, catalog.Latest
 	}
-	return catalog.ShortWatchTimeout, catalog.Latest
+	return readerWatch(paused), catalog.Latest
 }
+
+// readerWatch returns the long-poll timeout of a fresh reader after a pause. Both together
+// bound the time in which it may miss that it is cut off from the store.
+func readerWatch(paused time.Duration) time.Duration { return catalog.ShortWatchTimeout }
--- /dev/null
+++ b/edge/progress_test.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/catkinspring/catkinspring/machine"
+)
+
+// Guards against a list that waits for a watch to deliver a change although the fresh readers
+// are lost meanwhile, and against one that is requested at each look until it is complete.
+func TestPendingListIsRequestedAtOnceWhenReadersAreLost(t *testing.T) {
+	const delay = time.Second
+	var timer listTimer
+	now := machine.Instant(time.Hour)
+	require.False(t, timer.isDue(now, 5, 6, delay))
+	require.True(t, timer.isDue(now.Add(100*time.Millisecond), 5, 6, 0))
+	require.False(t, timer.isDue(now.Add(200*time.Millisecond), 5, 6, 0))
+	require.True(t, timer.isDue(now.Add(100*time.Millisecond+relistInterval), 5, 6, 0))
+}
+
+// Guards against a change that becomes known while a list is read, and waits until that list
+// would be repeated.
+func TestChangeDuringAListIsNotLeftToItsRepetition(t *testing.T) {
+	const delay = time.Second
+	var timer listTimer
+	now := machine.Instant(time.Hour)
+	require.False(t, timer.isDue(now, 5, 6, delay))
+	now = now.Add(delay)
+	require.True(t, timer.isDue(now, 5, 6, delay))
+	// The list returned revision 6, while 7 has become known.
+	require.False(t, timer.isDue(now.Add(100*time.Millisecond), 6, 7, delay))
+	require.True(t, timer.isDue(now.Add(100*time.Millisecond+delay), 6, 7, delay))
+	require.False(t, timer.isDue(now.Add(200*time.Millisecond+delay), 7, 7, delay))
+}
