--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -24,6 +24,7 @@
 	Hosts    int           `help:"Number of hosts of a run of planned stops; the seed decides if it is 0."`
 	Faults   bool          `help:"Disturb the store too in a run of planned stops."`
 	Changes  bool          `help:"Withdraw keys, routes, upstreams and failure domains, and disturb the store too, in place of planned stops under traffic."`
+	Demands  bool          `help:"Let upstreams state limits and ask for pauses too in a run of changes."`
 	Latency  time.Duration `help:"Pause hosts again and again for up to this long, as on a busy machine."`
 	MaxHosts int           `default:"9" help:"Hosts with which a run of changes begins, at most."`
 }
@@ -64,7 +65,7 @@
 		defer func() { _ = file.Close() }()
 		output = file
 	}
-	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Hosts: c.Hosts, StoreFaults: c.Faults, Latency: c.Latency, Output: output}
+	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Hosts: c.Hosts, StoreFaults: c.Faults, Latency: c.Latency, Demands: c.Demands, Output: output}
 	if c.Changes {
 		report, err := soak.RunChanges(ctx, options)
 		if err != nil {
