--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -53,8 +53,8 @@
 		defer close(done)
 		Follow(ctx, s, Options{
 			Relist: relist, Watch: func(time.Duration) (time.Duration, Consistency) { return time.Minute, Stale }, FirstList: Stale,
-			Pause: func() time.Duration { return coalesceDelay },
-			Progress:      func(complete, changed uint64, _ Consistency) { r.progress <- [2]uint64{complete, changed} },
+			Pause:    func() time.Duration { return coalesceDelay },
+			Progress: func(complete, changed uint64, _ Consistency) { r.progress <- [2]uint64{complete, changed} },
 		}, Observer[string]{
 			Apply:       func(u Update[string]) { r.updates <- u },
 			Unreachable: func(error) { r.unreachable <- struct{}{} },
--- a/edge/progress.go
+++ b/edge/progress.go
@@ -184,4 +184,4 @@
 
 // readerWatch returns the long-poll timeout of a fresh reader after a pause. Both together
 // bound the time in which it may miss that it is cut off from the store.
-func readerWatch(paused time.Duration) time.Duration { return catalog.ShortWatchTimeout }
+func readerWatch(paused time.Duration) time.Duration { return catalog.ShortWatchTimeout - paused }
