--- a/edge/progress_test.go
+++ b/edge/progress_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/catkinspring/catkinspring/catalog"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -35,3 +36,17 @@
 	require.True(t, timer.isDue(now.Add(100*time.Millisecond+delay), 6, 7, delay))
 	require.False(t, timer.isDue(now.Add(200*time.Millisecond+delay), 7, 7, delay))
 }
+
+// Guards against a fresh reader that notices a cut later after a change than on a quiet day,
+// because its pause and a whole watch follow each other.
+func TestPauseAndWatchOfAFreshReaderTogetherAreBounded(t *testing.T) {
+	e := &Edge{}
+	e.freshReader.Store(true)
+	for _, k := range freshKinds {
+		pause := watchPause(k, true)
+		wait, read := e.watchMode(k, pause)
+		require.Equal(t, catalog.Latest, read)
+		require.LessOrEqual(t, pause+wait, catalog.ShortWatchTimeout, "%v", k)
+		require.LessOrEqual(t, pause, maxReaderPause, "%v", k)
+	}
+}
