Test of uploads to serve: garbage of a running collection is not held

Traced on a scratch copy, 8 runs: the highest readings fall 38 to 63 ms after the start, in collections during which 6.4 to 11.5 MB were allocated; once the callers wait, 2 MB or less are read with 2 to 3 MB reserved.

The test uses the measure without what is allocated meanwhile, with the same bound.

--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -36,7 +36,7 @@
 			h := newHarness(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusCreated) }, func(c *Config) { c.UploadBytes = memory })
 			h.allowBodies(size)
 			payload := []byte("POST /open HTTP/1.1\r\nHost: g\r\n" + text)
-			before := endless.LiveHeap()
+			before := endless.HeldHeap()
 			rest := make(chan struct{})
 			var group sync.WaitGroup
 			var mu sync.Mutex
@@ -71,9 +71,10 @@
 				defer mu.Unlock()
 				return responses[fasthttp.StatusServiceUnavailable]
 			}
+			// The callers send for part of the second and then wait, so that what is held stays.
 			highest := int64(0)
 			for began := time.Now(); time.Since(began) < time.Second; {
-				highest = max(highest, endless.LiveHeap()-before)
+				highest = max(highest, endless.HeldHeap()-before)
 				require.LessOrEqual(t, h.uploads.Used(), int64(memory))
 			}
 			require.LessOrEqual(t, highest, int64(memory+slack), "bytes held")
--- a/internal/endless/check.go
+++ b/internal/endless/check.go
@@ -57,7 +57,7 @@
 
 // mostHeld runs the calls at the same time and returns the most bytes that they held together.
 func mostHeld(calls []func()) int64 {
-	before, highest := heldHeap(), int64(0)
+	before, highest := HeldHeap(), int64(0)
 	var group sync.WaitGroup
 	for _, call := range calls {
 		group.Go(call)
@@ -69,7 +69,7 @@
 		case <-done:
 			return highest
 		case <-time.After(sampleInterval):
-			highest = max(highest, heldHeap()-before)
+			highest = max(highest, HeldHeap()-before)
 		}
 	}
 }
--- a/internal/endless/endless.go
+++ b/internal/endless/endless.go
@@ -108,9 +108,9 @@
 	return readBytes("/gc/heap/live:bytes")
 }
 
-// heldHeap is LiveHeap without what was allocated during the collection: a lower bound of the
+// HeldHeap is LiveHeap without what was allocated during the collection: a lower bound of the
 // bytes in use when it began. What stays in use counts in the next call.
-func heldHeap() int64 {
+func HeldHeap() int64 {
 	allocated := readBytes(heapAllocated)
 	live := LiveHeap()
 	return live - (readBytes(heapAllocated) - allocated)
