Review, case 10: a host that has just started sends at full rate to cold backends

Tried: review/10/run.sh five times, and once with TROUBLE=0, on x86_64; case 7 again five times and once, as its servers now send heartbeats at times of their own.

--- a/review/scenes/cold.go
+++ b/review/scenes/cold.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/catkinspring/catkinspring/platform/rig"
@@ -96,9 +97,10 @@
 	c.scene.Store.Put("servers", c.id, next)
 }
 
-// heartbeats writes the entry again and again until the context ends.
-func (c *coldServer) heartbeats(ctx context.Context) {
-	for rig.Sleep(ctx, beat) {
+// heartbeats writes the entry again and again until the context ends, the first time after
+// beat and a delay: the heartbeats of the servers do not come together.
+func (c *coldServer) heartbeats(ctx context.Context, delay time.Duration) {
+	for rig.Sleep(ctx, delay); rig.Sleep(ctx, beat); {
 		c.mu.Lock()
 		if !c.down {
 			c.writeEntry()
@@ -207,75 +209,138 @@
 	})
 }
 
-// coldUnseen evacuates a zone whose servers are cold at the end, while the store is silent to
-// one of three hosts.
-func coldUnseen(s *scene) (bool, error) {
-	c := configuration(1)
-	c["Services"].([]any)[0].(map[string]any)["WarmupPerS"] = warmupPerS
-	s.Store.Put("config", "main", c)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var servers []*coldServer
+// coldRun is a fleet of three hosts in one region with servers in two zones, under orders.
+type coldRun struct {
+	*scene
+	servers []*coldServer
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+
+	mu      sync.Mutex
+	answers map[string]answer
+}
+
+// startColdRun starts the servers, the hosts and the orders.
+func (s *scene) startColdRun() (*coldRun, error) {
+	config := configuration(1)
+	config["Services"].([]any)[0].(map[string]any)["WarmupPerS"] = warmupPerS
+	s.Store.Put("config", "main", config)
+	c := &coldRun{scene: s, answers: map[string]answer{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for i, zone := range []string{"ost-a", "ost-a", "ost-a", "ost-b", "ost-b", "ost-b"} {
 		server := &coldServer{scene: s, zone: zone, name: fmt.Sprintf("i-%s-%d", zone, i), address: "127.0.0.1:0"}
 		if err := server.start(); err != nil {
-			return false, err
+			return nil, err
 		}
-		servers = append(servers, server)
-		go server.heartbeats(ctx)
+		c.servers = append(c.servers, server)
+		go server.heartbeats(c.ctx, time.Duration(i%3)*beat/3)
 	}
 	for _, name := range []string{"edge-ost-a-1", "edge-ost-a-2", "edge-ost-a-3"} {
 		if _, err := s.AddHost(name, "ost-a"); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	if err := s.startHosts(true); err != nil {
-		return false, err
+		return nil, err
 	}
-	var group sync.WaitGroup
-	var mu sync.Mutex
-	answers := map[string]answer{}
 	for _, h := range s.Hosts() {
-		s.sendSteadily(ctx, &group, h, ordersPerS, func(a answer) {
+		s.sendSteadily(c.ctx, &c.group, h, ordersPerS, func(a answer) {
 			s.recordAnswer(h, a)
-			mu.Lock()
-			defer mu.Unlock()
-			answers[a.id] = a
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.answers[a.id] = a
 		})
 	}
 	time.Sleep(10 * time.Second)
+	return c, nil
+}
+
+// evacuate evacuates the zone ost-b.
+func (c *coldRun) evacuate() {
+	c.Store.Put("evacuations", "ost-b", map[string]any{})
+	c.Record("zone ost-b is evacuated")
+}
+
+// restore takes the evacuation back; the servers of the zone have just become cold.
+func (c *coldRun) restore() {
+	for _, server := range c.servers {
+		if server.zone == "ost-b" {
+			server.becomeCold()
+		}
+	}
+	c.Store.Remove("evacuations", "ost-b")
+	c.Record("the evacuation of ost-b is taken back, its servers are cold")
+}
+
+// finish ends the orders and reports whether the rule held for all servers.
+func (c *coldRun) finish() bool {
+	c.cancel()
+	c.group.Wait()
+	held := true
+	for _, server := range c.servers {
+		server.mu.Lock()
+		held = server.judge(c.answers) && held
+		server.stop()
+		server.mu.Unlock()
+	}
+	return held
+}
+
+// coldUnseen evacuates a zone whose servers are cold at the end, while the store is silent to
+// one of three hosts.
+func coldUnseen(s *scene) (bool, error) {
+	c, err := s.startColdRun()
+	if err != nil {
+		return false, err
+	}
 	away := s.Hosts()[2]
 	if s.trouble {
 		away.Door.Partition()
 		s.Record("the store is silent to %s", away.Name)
 	}
 	time.Sleep(300 * time.Millisecond)
-	s.Store.Put("evacuations", "ost-b", map[string]any{})
-	s.Record("zone ost-b is evacuated")
+	c.evacuate()
 	time.Sleep(evacuationTime)
-	for _, server := range servers {
-		if server.zone == "ost-b" {
-			server.becomeCold()
-		}
-	}
-	s.Store.Remove("evacuations", "ost-b")
-	s.Record("the evacuation of ost-b is taken back, its servers are cold")
+	c.restore()
 	time.Sleep(turnedAway - evacuationTime - 300*time.Millisecond)
 	if s.trouble {
 		away.Door.Heal()
 		s.Record("the store serves %s again", away.Name)
 	}
 	time.Sleep(6 * time.Second)
-	cancel()
-	group.Wait()
-	held := true
-	for _, server := range servers {
-		server.mu.Lock()
-		held = server.judge(answers) && held
-		server.stop()
-		server.mu.Unlock()
+	return c.finish(), nil
+}
+
+// coldRestart takes an evacuation back just before a host that was stopped as planned starts
+// again.
+func coldRestart(s *scene) (bool, error) {
+	c, err := s.startColdRun()
+	if err != nil {
+		return false, err
+	}
+	c.evacuate()
+	time.Sleep(time.Second)
+	stopped := s.Hosts()[2]
+	if s.trouble {
+		stopped.Signal(syscall.SIGTERM)
+		s.Record("SIGTERM to %s", stopped.Name)
+		if !stopped.Wait(rig.Grace) {
+			return false, &rig.NotReadyError{Host: stopped.Name, Waited: rig.Grace}
+		}
+		s.Record("%s has ended", stopped.Name)
+	} else {
+		time.Sleep(evacuationTime)
+	}
+	c.restore()
+	if s.trouble {
+		time.Sleep(100 * time.Millisecond)
+		if err := stopped.Start(false); err != nil {
+			return false, err
+		}
 	}
-	return held, nil
+	time.Sleep(8 * time.Second)
+	return c.finish(), nil
 }
 
 // judge reports whether the rule held for a server. c.mu must be held.
--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -35,6 +35,7 @@
 	"crash-after-restart": crashAfterRestart,
 	"quota-holders":       quotaHolders,
 	"cold-unseen":         coldUnseen,
+	"cold-restart":        coldRestart,
 }
 
 func main() { os.Exit(run()) }
