--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -36,6 +36,7 @@
 	"quota-holders":       quotaHolders,
 	"cold-unseen":         coldUnseen,
 	"cold-restart":        coldRestart,
+	"replaced-fleet":      replacedFleet,
 }
 
 func main() { os.Exit(run()) }
