Rename internal/httpstatus to internal/httpcheck; dispatch uses its status check

The package is about to check header fields and the end of a connection too, and dispatch had a status check of its own. The check is stated once now; what dispatch rejects is unchanged (TestHeadWithImpossibleStatusIsMalformed, TestAmbiguousHeadsAreRejected).

--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -5,12 +5,20 @@
 // MalformedResponseError reports a response that is invalid or ambiguous.
 type MalformedResponseError struct {
 	Reason string
+	// Cause is the error of the check that failed, if that is one of package httpcheck.
+	Cause error
 }
 
 func (e *MalformedResponseError) Error() string {
+	if e.Cause != nil {
+		return "malformed response of the upstream: " + e.Reason + ": " + e.Cause.Error()
+	}
 	return "malformed response of the upstream: " + e.Reason
 }
 
+// Unwrap returns the cause.
+func (e *MalformedResponseError) Unwrap() error { return e.Cause }
+
 // MismatchedResponseError reports a response that does not carry the ID of the
 // request for which it was read.
 type MismatchedResponseError struct {
--- a/dispatch/head.go
+++ b/dispatch/head.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 )
 
 // responseHead holds the parts of a response head that the dispatcher needs before
@@ -24,9 +26,6 @@
 // maxInterimResponses limits the 1xx responses before the final one.
 const maxInterimResponses = 4
 
-// maxStatus is the highest status that HTTP defines.
-const maxStatus = 599
-
 // readHead waits for the head of a final response, validates it, and leaves it in
 // the reader for the codec. Interim responses are dropped. Heads whose framing
 // other parsers could read differently are rejected here, because the codec accepts
@@ -79,18 +78,15 @@
 func parseHead(raw []byte) (responseHead, error) {
 	h := responseHead{byteLen: len(raw)}
 	line, rest, _ := bytes.Cut(raw[:len(raw)-2], []byte("\r\n"))
-	const statusEnd = len("HTTP/1.1 200")
-	if !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) || len(line) < statusEnd || len(line) > statusEnd && line[statusEnd] != ' ' {
+	status, ok := bytes.CutPrefix(line, []byte("HTTP/1.1 "))
+	if !ok {
 		return h, &MalformedResponseError{Reason: "its status line is not HTTP/1.1"}
 	}
-	for _, c := range line[statusEnd-3 : statusEnd] {
-		if c < '0' || c > '9' {
-			return h, &MalformedResponseError{Reason: "its status is not a number"}
-		}
-		h.status = h.status*10 + int(c-'0')
+	if err := httpcheck.Status(string(status)); err != nil {
+		return h, &MalformedResponseError{Reason: "its status is impossible", Cause: err}
 	}
-	if h.status < http.StatusContinue || h.status > maxStatus {
-		return h, &MalformedResponseError{Reason: "its status " + string(line[statusEnd-3:statusEnd]) + " is out of range"}
+	for _, c := range status[:len("200")] {
+		h.status = h.status*10 + int(c-'0')
 	}
 	if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, '\r') >= 0 {
 		return h, &MalformedResponseError{Reason: "its status line holds a line end"}
--- a/dispatch/probe_test.go
+++ b/dispatch/probe_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/catkinspring/catkinspring/internal/httpstatus/statustest"
+	"github.com/catkinspring/catkinspring/internal/httpcheck/responsetest"
 )
 
 // Guards against a probe that counts bytes that are no response, such as one with an
@@ -14,9 +14,9 @@
 func TestProbeCountsResponsesOnly(t *testing.T) {
 	b := newTestDispatcher()
 	probe := func(response string) probeResult {
-		return b.prober.probe(netip.MustParseAddrPort(statustest.Serve(t, response)))
+		return b.prober.probe(netip.MustParseAddrPort(responsetest.Serve(t, response)))
 	}
-	for _, status := range statustest.Impossible {
+	for _, status := range responsetest.Impossible {
 		require.Equal(t, probeFailed, probe("HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}"), status)
 	}
 	for _, status := range []string{"200", "404", "500", "503"} {
@@ -26,7 +26,7 @@
 
 // Guards against a status check that differs from that of other responses.
 func TestHeadWithImpossibleStatusIsMalformed(t *testing.T) {
-	for _, status := range statustest.Impossible {
+	for _, status := range responsetest.Impossible {
 		_, err := parseHead([]byte("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"))
 		var malformed *MalformedResponseError
 		require.ErrorAs(t, err, &malformed, status)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,7 +13,7 @@
 	"github.com/catkinspring/catkinspring/configuration"
 	"github.com/catkinspring/catkinspring/dispatch"
 	"github.com/catkinspring/catkinspring/fleet"
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 	"github.com/catkinspring/catkinspring/keys"
 	"github.com/catkinspring/catkinspring/problem"
 	"github.com/catkinspring/catkinspring/traffic"
@@ -273,7 +273,7 @@
 	if earlier == nil {
 		return problem.NotRun(problem.KindClaimUnavailable, "the operation could not be claimed")
 	}
-	if !httpstatus.IsFinal(earlier.Status) {
+	if !httpcheck.IsFinal(earlier.Status) {
 		// The result comes from a peer or from the store. fasthttp writes a status of 0 as
 		// 200, and any other as it is.
 		return problem.New(problem.KindOperationRan, problem.OutcomeRun,
--- a/host/outside.go
+++ b/host/outside.go
@@ -20,7 +20,7 @@
 	"github.com/catkinspring/catkinspring/directory"
 	"github.com/catkinspring/catkinspring/fleet"
 	"github.com/catkinspring/catkinspring/internal/control"
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 	"github.com/catkinspring/catkinspring/machine"
 	"github.com/catkinspring/catkinspring/membership"
 	"github.com/catkinspring/catkinspring/peer"
@@ -309,5 +309,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return httpstatus.CheckedConn(conn), nil
+	return httpcheck.CheckedConn(conn), nil
 }
--- a/host/probe_test.go
+++ b/host/probe_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/catkinspring/catkinspring/internal/endless"
-	"github.com/catkinspring/catkinspring/internal/httpstatus/statustest"
+	"github.com/catkinspring/catkinspring/internal/httpcheck/responsetest"
 )
 
 // Guards against a health probe that holds, or waits for the end of, an answer without end.
@@ -22,8 +22,8 @@
 
 // Guards against a probe that counts a response with an impossible status as health.
 func TestProbeRejectsImpossibleStatus(t *testing.T) {
-	for _, status := range statustest.Impossible {
-		address := statustest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 10\r\n\r\n{\"load\":1}")
+	for _, status := range responsetest.Impossible {
+		address := responsetest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 10\r\n\r\n{\"load\":1}")
 		_, err := probe(netip.MustParseAddrPort(address), time.Second)
 		require.Error(t, err, status)
 	}
@@ -33,7 +33,7 @@
 // without load, to which most requests would then be sent.
 func TestProbeRejectsErrors(t *testing.T) {
 	for status, failed := range map[string]bool{"200": false, "101": true, "204": true, "302": true, "404": true, "500": true, "503": true} {
-		address := statustest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 17\r\n\r\n{\"error\":\"other\"}")
+		address := responsetest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 17\r\n\r\n{\"error\":\"other\"}")
 		_, err := probe(netip.MustParseAddrPort(address), time.Second)
 		require.Equal(t, failed, err != nil, status)
 	}
--- a/internal/httpstatus/conn.go
+++ b/internal/httpcheck/conn.go
@@ -1,4 +1,4 @@
-package httpstatus
+package httpcheck
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 )
 
 // CheckedConn returns a connection of an HTTP/1 client whose reads fail with
-// *ImpossibleError at a response with an impossible status. Clients of fasthttp need it
+// *StatusError at a response with an impossible status. Clients of fasthttp need it
 // because fasthttp reports 000 as 200. Each write begins a new exchange.
 func CheckedConn(c net.Conn) net.Conn { return &checkedConn{Conn: c} }
 
@@ -86,7 +86,7 @@
 	}
 	_, status, _ := bytes.Cut(line, []byte(" "))
 	status = bytes.TrimLeft(status, " ")
-	if err := Check(string(status)); err != nil {
+	if err := Status(string(status)); err != nil {
 		return err
 	}
 	s.inHeader = status[0] == '1' && !bytes.HasPrefix(status, []byte("101"))
--- a/internal/httpstatus/conn_test.go
+++ b/internal/httpcheck/conn_test.go
@@ -1,4 +1,4 @@
-package httpstatus
+package httpcheck
 
 import (
 	"fmt"
--- a/internal/httpstatus/statustest/statustest.go
+++ b/internal/httpcheck/responsetest/responsetest.go
@@ -1,5 +1,5 @@
-// Package statustest serves responses with impossible statuses in tests.
-package statustest
+// Package responsetest serves responses with impossible statuses in tests.
+package responsetest
 
 import (
 	"bufio"
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 )
 
 const (
@@ -64,7 +64,7 @@
 				return nil, &connectError{cause: err}
 			}
 			// fasthttp reports a response with status 000 as a success.
-			return httpstatus.CheckedConn(conn), nil
+			return httpcheck.CheckedConn(conn), nil
 		},
 	}
 }
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 	"github.com/catkinspring/catkinspring/operator"
 )
 
@@ -120,7 +120,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := httpstatus.Check(response.Status); err != nil {
+	if err := httpcheck.Status(response.Status); err != nil {
 		// Not a refusal: the host may have done what was requested.
 		return err
 	}
--- a/operator/client/status_test.go
+++ b/operator/client/status_test.go
@@ -6,15 +6,15 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/catkinspring/catkinspring/internal/httpstatus/statustest"
+	"github.com/catkinspring/catkinspring/internal/httpcheck/responsetest"
 )
 
 // Guards against a response with an impossible status that counts as the refusal of a
 // note, which may have been accepted.
 func TestImpossibleStatusIsNoRefusal(t *testing.T) {
-	for _, status := range statustest.Impossible {
+	for _, status := range responsetest.Impossible {
 		t.Run(status, func(t *testing.T) {
-			address := statustest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+			address := responsetest.Serve(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
 			_, err := New(Config{Hosts: []string{address}}).Apply(context.Background(), nil)
 			var undecided *UndecidedError
 			require.ErrorAs(t, err, &undecided)
--- a/store/http.go
+++ b/store/http.go
@@ -17,7 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/catkinspring/catkinspring/fleet"
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 	"github.com/catkinspring/catkinspring/machine"
 )
 
@@ -132,13 +132,13 @@
 		if err != nil {
 			return nil, &dialError{cause: err}
 		}
-		return httpstatus.CheckedConn(conn), nil
+		return httpcheck.CheckedConn(conn), nil
 	}
 	conn, err := tls.DialWithDialer(dialer, "tcp", address, h.options.TLS)
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return httpstatus.CheckedConn(conn), nil
+	return httpcheck.CheckedConn(conn), nil
 }
 
 // call is one HTTP request with its options.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/catkinspring/catkinspring/internal/bytebudget"
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 )
 
 const (
@@ -381,7 +381,7 @@
 }
 
 // readHeader reads headers up to that of a final response. It returns
-// *httpstatus.ImpossibleError for statuses that http.ReadResponse accepts, but HTTP does
+// *httpcheck.StatusError for statuses that http.ReadResponse accepts, but HTTP does
 // not define, such as 000.
 func (e *exchange) readHeader(reader *bufio.Reader) (*http.Response, error) {
 	methodOnly := http.Request{Method: e.request.Method}
@@ -390,7 +390,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := httpstatus.Check(raw.Status); err != nil {
+		if err := httpcheck.Status(raw.Status); err != nil {
 			return nil, err
 		}
 		if raw.StatusCode >= 200 {
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/catkinspring/catkinspring/internal/httpstatus"
-	"github.com/catkinspring/catkinspring/internal/httpstatus/statustest"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
+	"github.com/catkinspring/catkinspring/internal/httpcheck/responsetest"
 )
 
 // Guards against a response with an impossible status that is passed on, that counts as
@@ -22,7 +22,7 @@
 		"interim": func(s string) string { return interim + "HTTP/1.1 " + s + " X\r\nId: 2\r\nContent-Length: 0\r\n\r\n" },
 	}
 	for name, form := range forms {
-		for _, status := range statustest.Impossible {
+		for _, status := range responsetest.Impossible {
 			t.Run(name+" "+status, func(t *testing.T) {
 				s := startStub(t, respondToEach(func(id string) string {
 					if id == "2" {
@@ -43,7 +43,7 @@
 				require.False(t, result.Outcome.NotRun())
 				require.Nil(t, result.Response)
 				if len(status) == 3 && status != "-01" { // net/http itself rejects the others
-					var impossible *httpstatus.ImpossibleError
+					var impossible *httpcheck.StatusError
 					require.ErrorAs(t, result.Err, &impossible)
 					require.Equal(t, status, impossible.Status)
 				}
