Don't take the reset of a connection for the end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response (MIXED). With the header that states that a request has not run, the host believed it and answered 503 for a request that may have run.

Cause: the kernel reports the failure of a connection once, to the read or to the write that comes first. If that is the write of the upload, the read finds io.EOF, which delimits a response without a length. upstream ignored the error of the write unless the read had failed too. net/http does the same for the client of the platform's store and for operators' commands: there, a part of a 409 counted as the refusal of a write or a note that may have been accepted.

Fix: httpcheck.FailingConn, on which all three clients read. At io.EOF it waits for the write in progress, which it interrupts, and returns the failure that a write has reported. A peer that ends the stream (FIN) before it resets the connection makes the write fail with EPIPE instead of ECONNRESET; the end of the stream then remains that of the response. This replaces withWriteTimeout, which did this for ETIMEDOUT only, and only if the read had failed.

--- a/internal/httpcheck/responsetest/responsetest.go
+++ b/internal/httpcheck/responsetest/responsetest.go
@@ -1,4 +1,4 @@
-// Package responsetest serves responses with impossible statuses in tests.
+// Package responsetest serves broken responses, and whole ones beside them, in tests.
 package responsetest
 
 import (
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -47,14 +47,24 @@
 	http       *http.Client
 }
 
+// transport is shared by all clients, so that they share its idle connections.
+var transport = func() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = httpcheck.FailingDial(t.DialContext)
+	return t
+}()
+
 // New returns a client.
 func New(config Config) *Client {
 	c := &Client{addresses: config.Hosts, credential: config.Credential, timeout: config.Timeout}
 	if c.timeout <= 0 {
 		c.timeout = DefaultTimeout
 	}
-	// Following a redirect would send the credential to another server.
-	c.http = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	c.http = &http.Client{
+		Transport: transport,
+		// Following a redirect would send the credential to another server.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	return c
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -255,13 +255,12 @@
 		select {
 		case writeErr := <-written:
 			sentWhole = writeErr == nil
-			err = withWriteTimeout(err, writeErr)
 		default:
 			// Part of the body has not been sent yet, so the connection can't carry another
 			// request.
 			sentWhole = false
 			_ = conn.SetDeadline(pastDeadline)
-			err = withWriteTimeout(err, <-written)
+			<-written
 		}
 	}
 	if err != nil && silent && e.ctx.Err() == nil {
@@ -287,16 +286,6 @@
 	return Result{Outcome: Answered, Response: response}, idleFor
 }
 
-// withWriteTimeout joins a timeout of the write to the error of the read, so that
-// classifyError can recognise that the machine is unresponsive. The kernel reports the end
-// of a connection to only one of them.
-func withWriteTimeout(read, write error) error {
-	if read != nil && errors.Is(write, syscall.ETIMEDOUT) {
-		return errors.Join(read, write)
-	}
-	return read
-}
-
 // idleTimeout returns how long a connection may stay idle, by the Keep-Alive header of
 // a response.
 func idleTimeout(h http.Header) time.Duration {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 )
 
 const (
@@ -133,6 +135,7 @@
 }
 
 func newConnection(raw net.Conn) *connection {
+	raw = httpcheck.FailingConn(raw)
 	limit := &limitedReader{source: raw}
 	return &connection{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
