Reject responses with a broken header line in all clients

What callers saw: an upstream sent a response in whose header the name of a field held a space. The caller got it as a response, with that line, or, if the line would have been the length or the framing, with a body that was not the upstream's. With the header that states that a request has not run, the host believed it.

Cause: net/http accepts spaces in names and joins folded lines; fasthttp does too, and drops spaces before the colon. dispatch had a parser of its own that rejects them; upstream, store calls, the health probe of host, the load tool, the client of the platform's store and operators' commands had none. dispatch left trailers to fasthttp.

Fix: the rule for a header line moves from dispatch to httpcheck (fieldLine). SplitField applies it to a line (dispatch, gateway). Reader applies it to the bytes that a connection delivers, beside the check of the status line: upstream reads through it, and clients of fasthttp through CheckedConn. Clients of net/http check the names that it has parsed (httpcheck.Response). Such a response is Broken in upstream: it is not passed on, counts as one that may have run, and its connection is closed. Trailers are checked as well, though they are not passed on.

TestUnusualHeaderLineIsPassedOn and the valid lines of the other tests (lower case, empty values, obs-text, all characters of a token) are delivered as before.

Folded lines are still joined by clients of net/http, which do not see them.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -187,8 +187,9 @@
 		return responseHead{}, &UndelimitedResponseError{}
 	}
 	e.response.SkipBody = isHead
-	if err := e.response.ReadLimitBody(c.reader, e.d.maxResponseBytes); err != nil {
-		if isTimeout(err) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	if err := e.readResponse(c, h); err != nil {
+		var malformed *MalformedResponseError
+		if isTimeout(err) || errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &malformed) {
 			return responseHead{}, err
 		}
 		return responseHead{}, &TruncatedResponseError{Cause: err}
@@ -204,6 +205,24 @@
 	return h, nil
 }
 
+// readResponse reads the response whose head has been checked. It checks the trailer, of
+// which the codec accepts names with spaces.
+func (e *exchange) readResponse(c *connection, h responseHead) error {
+	if err := e.response.Header.Read(c.reader); err != nil {
+		return err
+	}
+	if !h.hasBody(e.response.SkipBody) {
+		return nil
+	}
+	if err := e.response.ReadBody(c.reader, e.d.maxResponseBytes); err != nil || !h.chunked {
+		return err
+	}
+	if err := checkTrailer(c.reader); err != nil {
+		return err
+	}
+	return e.response.Header.ReadTrailer(c.reader)
+}
+
 // classifyResponse classifies a complete response.
 func classifyResponse(h responseHead) outcome {
 	if h.status != fasthttp.StatusServiceUnavailable || !h.notRun {
--- a/dispatch/head.go
+++ b/dispatch/head.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// checkTrailer waits for the trailer of a response and checks it, and leaves it in the reader
+// for the codec.
+func checkTrailer(r *bufio.Reader) error {
+	for n := len("\r\n"); ; n = r.Buffered() + 1 {
+		if _, err := r.Peek(n); err != nil {
+			if err == bufio.ErrBufferFull {
+				return &MalformedResponseError{Reason: "its trailer is too large"}
+			}
+			return err
+		}
+		buffered, _ := r.Peek(r.Buffered())
+		if bytes.HasPrefix(buffered, []byte("\r\n")) {
+			return nil
+		}
+		end := bytes.Index(buffered, headEnd)
+		if end < 0 {
+			continue
+		}
+		for line := range bytes.SplitSeq(buffered[:end], []byte("\r\n")) {
+			if _, _, err := httpcheck.SplitField(line); err != nil {
+				return &MalformedResponseError{Reason: "its trailer is broken", Cause: err}
+			}
+		}
+		return nil
+	}
+}
+
 // parseHead parses a head strictly; see RFC 9112, sections 4 to 6.
 func parseHead(raw []byte) (responseHead, error) {
 	h := responseHead{byteLen: len(raw)}
@@ -93,9 +120,9 @@
 	}
 	for len(rest) > 0 {
 		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
-		name, value, err := SplitField(line)
+		name, value, err := httpcheck.SplitField(line)
 		if err != nil {
-			return h, &MalformedResponseError{Reason: err.Error()}
+			return h, &MalformedResponseError{Reason: "its header is broken", Cause: err}
 		}
 		if err := h.recordField(name, value); err != nil {
 			return h, err
@@ -147,51 +174,6 @@
 	return h.hasLength || h.chunked || !h.hasBody(headRequest)
 }
 
-// FieldError reports a header line that is not a field.
-type FieldError struct {
-	Reason string
-}
-
-func (e *FieldError) Error() string { return e.Reason }
-
-// SplitField splits a header line, without its line end, into name and value.
-// It returns a *FieldError for syntax that lenient parsers read differently: folded
-// lines, white space around the name, and line ends without a carriage return.
-func SplitField(line []byte) (name, value []byte, err error) {
-	colon := bytes.IndexByte(line, ':')
-	if colon <= 0 {
-		return nil, nil, &FieldError{Reason: "a header line has no name"}
-	}
-	name = line[:colon]
-	for _, c := range name {
-		if !tokenChars[c] {
-			return nil, nil, &FieldError{Reason: "a header name holds a character that is not allowed"}
-		}
-	}
-	value = bytes.Trim(line[colon+1:], " \t")
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return nil, nil, &FieldError{Reason: "a header value holds a control character"}
-		}
-	}
-	return name, value, nil
-}
-
-// tokenChars are the characters of a token; see RFC 9110, section 5.6.2.
-var tokenChars = func() (set [256]bool) {
-	for c := '0'; c <= '9'; c++ {
-		set[c] = true
-	}
-	for c := 'a'; c <= 'z'; c++ {
-		set[c] = true
-		set[c-'a'+'A'] = true
-	}
-	for _, c := range "!#$%&'*+-.^_`|~" {
-		set[c] = true
-	}
-	return set
-}()
-
 func equalFold(text []byte, want string) bool {
 	return len(text) == len(want) && bytes.EqualFold(text, []byte(want))
 }
--- a/dispatch/probe_test.go
+++ b/dispatch/probe_test.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// Guards against a probe that counts a response with a broken header line.
+func TestProbeRejectsBrokenHeaderLines(t *testing.T) {
+	b := newTestDispatcher()
+	for _, line := range brokenLines {
+		address := responsetest.Serve(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}")
+		require.Equal(t, probeFailed, b.prober.probe(netip.MustParseAddrPort(address)), "%q", line)
+	}
+}
+
 // Guards against a status check that differs from that of other responses.
 func TestHeadWithImpossibleStatusIsMalformed(t *testing.T) {
 	for _, status := range responsetest.Impossible {
--- a/dispatch/reset_test.go
+++ b/dispatch/reset_test.go
@@ -18,6 +18,7 @@
 // connection was reported to the writer of the upload, and against the loss of a whole one.
 func TestResetDuringUpload(t *testing.T) {
 	const head = "HTTP/1.1 %s X\r\n" + HeaderRequestID + ": %s\r\n"
+	body := responsetest.Upload()
 	for name, c := range map[string]struct {
 		status, rest string
 		whole        bool
@@ -36,7 +37,7 @@
 				for range responsetest.EarlyRuns {
 					b := newTestDispatcher()
 					r := newRequest("m", configuration.SemanticsAtMostOnce, 5*time.Second)
-					r.Message.SetBodyRaw(responsetest.Upload)
+					r.Message.SetBodyRaw(body)
 					s := responsetest.ServeEarly(t, responsetest.Early{Text: fmt.Sprintf(head, c.status, r.ID) + c.rest, Delay: delay})
 					b.placer.targets = []traffic.Target{{Name: "u1", Address: s.Address}}
 					response, err := b.run(r)
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/catkinspring/catkinspring/dispatch"
+	"github.com/catkinspring/catkinspring/internal/httpcheck"
 	"github.com/catkinspring/catkinspring/problem"
 )
 
@@ -26,7 +26,7 @@
 		if len(line) == 0 {
 			break
 		}
-		name, value, err := dispatch.SplitField(line)
+		name, value, err := httpcheck.SplitField(line)
 		if err != nil {
 			return malformed(err.Error())
 		}
--- a/host/probe_test.go
+++ b/host/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,15 @@
 	}
 }
 
+// Guards against a probe that counts a response with a broken header line as health.
+func TestProbeRejectsBrokenHeaderLines(t *testing.T) {
+	for _, line := range slices.Concat(responsetest.BrokenLines, responsetest.FoldedLines) {
+		address := responsetest.Serve(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\nContent-Length: 10\r\n\r\n{\"load\":1}")
+		_, err := probe(netip.MustParseAddrPort(address), time.Second)
+		require.Error(t, err, "%q", line)
+	}
+}
+
 // Guards against a probe that counts the body of an error as the health of an upstream
 // without load, to which most requests would then be sent.
 func TestProbeRejectsErrors(t *testing.T) {
--- a/internal/httpcheck/responsetest/early.go
+++ b/internal/httpcheck/responsetest/early.go
@@ -21,9 +21,10 @@
 // ResetDelays are the times from an early response to the reset of its connection.
 var ResetDelays = []time.Duration{0, time.Millisecond, 30 * time.Millisecond}
 
-// Upload is a body that exceeds the buffers of both ends of a connection, so that it is still
-// being written when the connection ends.
-var Upload = bytes.Repeat([]byte("x"), 16<<20)
+// Upload returns a body that exceeds the buffers of both ends of a connection, so that it is
+// still being written when the connection ends. It is not kept in a variable, because a large
+// live heap changes the figures of tests that measure memory.
+func Upload() []byte { return bytes.Repeat([]byte("x"), 16<<20) }
 
 // Early is a response that is sent before the body of the request is read. The connection is
 // reset afterwards.
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -130,7 +130,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := httpcheck.Status(response.Status); err != nil {
+	if err := httpcheck.Response(response); err != nil {
 		// Not a refusal: the host may have done what was requested.
 		return err
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,8 +1,8 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -344,7 +344,7 @@
 // readOne reads the next final response, skipping interim (1xx) ones.
 func (e *exchange) readOne(conn *connection) (*Response, time.Duration, error) {
 	conn.limit.start(partHeader, maxHeaderBytes)
-	raw, err := e.readHeader(conn.reader)
+	raw, err := e.readHeader(conn)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -356,6 +356,9 @@
 	}
 	memory := e.client.responses.Open()
 	body, err := bytebudget.ReadAll(&framedBody{Reader: raw.Body, conn: conn}, length, maxBodyBytes, memory)
+	if err == nil {
+		err = httpcheck.FieldNames(raw.Trailer)
+	}
 	if err != nil {
 		memory.Release()
 		return nil, 0, err
@@ -369,17 +372,18 @@
 	return response, idleFor, nil
 }
 
-// readHeader reads headers up to that of a final response. It returns
-// *httpcheck.StatusError for statuses that http.ReadResponse accepts, but HTTP does
-// not define, such as 000.
-func (e *exchange) readHeader(reader *bufio.Reader) (*http.Response, error) {
+// readHeader reads headers up to that of a final response. It returns *httpcheck.StatusError
+// or *httpcheck.FieldError for those that http.ReadResponse accepts, but HTTP does not define.
+func (e *exchange) readHeader(conn *connection) (*http.Response, error) {
 	methodOnly := http.Request{Method: e.request.Method}
 	for range maxInterimResponses + 1 {
-		raw, err := http.ReadResponse(reader, &methodOnly)
-		if err != nil {
+		// Bytes of the header may have been read with an earlier response.
+		buffered, _ := conn.reader.Peek(conn.reader.Buffered())
+		if err := conn.checked.Begin(buffered); err != nil {
 			return nil, err
 		}
-		if err := httpcheck.Status(raw.Status); err != nil {
+		raw, err := http.ReadResponse(conn.reader, &methodOnly)
+		if err := cmp.Or(conn.checked.Err(), err); err != nil {
 			return nil, err
 		}
 		if raw.StatusCode >= 200 {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -43,6 +43,8 @@
 // connection is a connection to an upstream with its read buffer.
 type connection struct {
 	net.Conn
+	// checked checks the headers that reader reads.
+	checked *httpcheck.Reader
 	// limit bounds the bytes that reader may read.
 	limit  *limitedReader
 	reader *bufio.Reader
@@ -136,8 +138,9 @@
 
 func newConnection(raw net.Conn) *connection {
 	raw = httpcheck.FailingConn(raw)
-	limit := &limitedReader{source: raw}
-	return &connection{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	checked := httpcheck.NewReader(raw)
+	limit := &limitedReader{source: checked}
+	return &connection{Conn: raw, checked: checked, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // put makes a connection available for reuse, for at most idleFor.
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -12,9 +12,9 @@
 )
 
 // upload returns a request with a body that does not fit into the buffers.
-func upload(id string) *Request {
-	r := request(id)
-	r.Method, r.Body = http.MethodPost, responsetest.Upload
+func upload() *Request {
+	r := request("1")
+	r.Method, r.Body = http.MethodPost, responsetest.Upload()
 	return r
 }
 
@@ -22,6 +22,7 @@
 // the reset of its connection was reported to the writer of the upload, and the reader found
 // what looks like the end of the response.
 func TestResetDuringUploadIsNotTheEndOfTheResponse(t *testing.T) {
+	r := upload()
 	for name, text := range map[string]string{
 		"200":         "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart",
 		"no body":     "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
@@ -45,7 +46,7 @@
 				c := NewClient(testCodec{}, testResponseBytes)
 				passedOn := 0
 				for range responsetest.EarlyRuns {
-					result := exchangeWith(t, c, &stubServer{target: Target{ID: "u", Address: s.Address}}, upload("1"))
+					result := exchangeWith(t, c, &stubServer{target: Target{ID: "u", Address: s.Address}}, r)
 					if result.Outcome != Broken {
 						passedOn++
 						continue
@@ -65,6 +66,7 @@
 // the end of the connection delimits, because a reset follows while the upload is written.
 func TestWholeResponseBeforeResetDuringUpload(t *testing.T) {
 	const body = "whole"
+	r := upload()
 	for name, e := range map[string]responsetest.Early{
 		"length":    {Text: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole"},
 		"chunked":   {Text: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
@@ -82,7 +84,7 @@
 				s := responsetest.ServeEarly(t, responsetest.Early{Text: e.Text, Finish: e.Finish, Delay: delay})
 				c := NewClient(testCodec{}, testResponseBytes)
 				for range responsetest.EarlyRuns {
-					result := exchangeWith(t, c, &stubServer{target: Target{ID: "u", Address: s.Address}}, upload("1"))
+					result := exchangeWith(t, c, &stubServer{target: Target{ID: "u", Address: s.Address}}, r)
 					require.Contains(t, []Outcome{Answered, Refused}, result.Outcome, "%v", result.Err)
 					if result.Response.Status/100 == 2 && result.Response.Status != http.StatusNoContent {
 						require.Equal(t, body, string(result.Response.Body))
