--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -27,6 +27,7 @@
 	Replace  bool          `help:"Replace some or all hosts for good under limited customers, in place of planned stops under traffic."`
 	Drills   bool          `help:"Let the store come back from older copies too in a run of replacements."`
 	Demands  bool          `help:"Let upstreams state limits and ask for pauses too in a run of changes."`
+	Broken   bool          `help:"Let upstreams send broken responses too in a run of planned stops."`
 	Latency  time.Duration `help:"Pause hosts again and again for up to this long, as on a busy machine."`
 	MaxHosts int           `default:"9" help:"Hosts with which a run of changes or replacements begins, at most."`
 }
@@ -67,7 +68,7 @@
 		defer func() { _ = file.Close() }()
 		output = file
 	}
-	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Hosts: c.Hosts, StoreFaults: c.Faults, Latency: c.Latency, Demands: c.Demands, Drills: c.Drills, Output: output}
+	options := soak.Options{Program: c.Binary, Seed: seed, Duration: c.Duration, MaxHosts: c.MaxHosts, Hosts: c.Hosts, StoreFaults: c.Faults, Latency: c.Latency, Demands: c.Demands, Drills: c.Drills, Broken: c.Broken, Output: output}
 	if c.Replace {
 		report, err := soak.RunReplacements(ctx, options)
 		if err != nil {
