--- a/internal/httpcheck/failure.go
+++ b/internal/httpcheck/failure.go
@@ -11,32 +11,32 @@
 	"time"
 )
 
-// FailingConn returns a connection of an HTTP/1 client whose reads report the failure of
+// SharedFailureConn returns a connection of an HTTP/1 client whose reads report the failure of
 // the connection, such as its reset, also if the kernel has reported that to a write. The
-// kernel reports a failure once, to a read or to a write, whichever comes first; reads then
-// return io.EOF, which delimits a response without a length.
+// kernel reports a failure once, to the read or the write that comes first. If that is a
+// write, reads return io.EOF, which delimits a response without a length.
 //
-// A write that is in progress at the end of the stream is interrupted. The writes of a
-// connection whose peer ends the stream before it resets the connection fail with EPIPE,
-// and the end of the stream is then that of the response.
-func FailingConn(c net.Conn) net.Conn { return &failingConn{Conn: c} }
+// A write that is in progress at the end of the stream is interrupted. If the peer ends the
+// stream before it resets the connection, Linux lets writes fail with EPIPE instead of
+// ECONNRESET, and the end of the stream is that of the response.
+func SharedFailureConn(c net.Conn) net.Conn { return &sharedFailureConn{Conn: c} }
 
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// FailingDial returns a DialFunc whose connections are those of FailingConn.
-func FailingDial(dial DialFunc) DialFunc {
+// SharedFailureDial returns a DialFunc whose connections are those of SharedFailureConn.
+func SharedFailureDial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return FailingConn(c), nil
+		return SharedFailureConn(c), nil
 	}
 }
 
-// failingConn is the connection that FailingConn returns.
-type failingConn struct {
+// sharedFailureConn is the connection that SharedFailureConn returns.
+type sharedFailureConn struct {
 	net.Conn
 	// writing is held during each write.
 	writing sync.Mutex
@@ -44,7 +44,7 @@
 	failure error
 }
 
-func (c *failingConn) Write(p []byte) (int, error) {
+func (c *sharedFailureConn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -54,7 +54,7 @@
 	return n, err
 }
 
-func (c *failingConn) Read(p []byte) (int, error) {
+func (c *sharedFailureConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF { //nolint:errorlint // io.Reader returns it unwrapped
 		if failure := c.reportedToWrite(); failure != nil {
@@ -66,7 +66,7 @@
 
 // reportedToWrite returns the failure that a write has reported. It interrupts a write that
 // is in progress: its system call may have returned the failure already.
-func (c *failingConn) reportedToWrite() error {
+func (c *sharedFailureConn) reportedToWrite() error {
 	// If this fails, the connection is closed and the write ends as well.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
@@ -82,7 +82,7 @@
 
 // SyscallConn implements syscall.Conn, which callers use to query the state of the
 // connection.
-func (c *failingConn) SyscallConn() (syscall.RawConn, error) {
+func (c *sharedFailureConn) SyscallConn() (syscall.RawConn, error) {
 	if sys, ok := c.Conn.(syscall.Conn); ok {
 		return sys.SyscallConn()
 	}
--- a/internal/httpcheck/failure_test.go
+++ b/internal/httpcheck/failure_test.go
@@ -53,7 +53,7 @@
 		{syscall.ETIMEDOUT, true},
 		{syscall.EHOSTUNREACH, true},
 	} {
-		conn := FailingConn(&endedConn{writeErr: c.writeErr})
+		conn := SharedFailureConn(&endedConn{writeErr: c.writeErr})
 		_, err := conn.Read(nil)
 		require.Equal(t, io.EOF, err, "before the write")
 		_, _ = conn.Write(nil)
@@ -74,7 +74,7 @@
 func TestReadInterruptsTheWriteInProgress(t *testing.T) {
 	for _, writeErr := range []error{syscall.ECONNRESET, os.ErrDeadlineExceeded} {
 		inner := &endedConn{writeErr: writeErr, writing: make(chan struct{}), interrupted: make(chan struct{})}
-		conn := FailingConn(inner)
+		conn := SharedFailureConn(inner)
 		go func() { _, _ = conn.Write(nil) }()
 		<-inner.writing
 		_, err := conn.Read(nil)
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -50,7 +50,7 @@
 // transport is shared by all clients, so that they share its idle connections.
 var transport = func() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.DialContext = httpcheck.FailingDial(t.DialContext)
+	t.DialContext = httpcheck.SharedFailureDial(t.DialContext)
 	return t
 }()
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -137,7 +137,7 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	raw = httpcheck.FailingConn(raw)
+	raw = httpcheck.SharedFailureConn(raw)
 	checked := httpcheck.NewReader(raw)
 	limit := &limitedReader{source: checked}
 	return &connection{Conn: raw, checked: checked, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
