--- a/dispatch/reset_test.go
+++ b/dispatch/reset_test.go
@@ -14,8 +14,9 @@
 	"github.com/catkinspring/catkinspring/traffic"
 )
 
-// Guards against a part of a response that is passed on or believed because the reset of its
-// connection was reported to the writer of the upload, and against the loss of a whole one.
+// Guards against a part of a response that is passed on, or taken for a statement that the
+// request has not run, because the reset of its connection was reported to the writer of the
+// upload. Guards against the loss of a whole response as well.
 func TestResetDuringUpload(t *testing.T) {
 	const head = "HTTP/1.1 %s X\r\n" + HeaderRequestID + ": %s\r\n"
 	body := responsetest.Upload()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -357,6 +357,8 @@
 	memory := e.client.responses.Open()
 	body, err := bytebudget.ReadAll(&framedBody{Reader: raw.Body, conn: conn}, length, maxBodyBytes, memory)
 	if err == nil {
+		// The trailer is not passed on, but a broken one makes the response as doubtful as a
+		// broken header.
 		err = httpcheck.FieldNames(raw.Trailer)
 	}
 	if err != nil {
